--- /dev/null
+++ b/src/bin/eelgrassvalve.rs
@@ -0,0 +1,7 @@
+//! The command-line tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    eelgrassvalve::cmd::tool().main()
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,126 @@
+//! Subcommands of the daemon and of the tool, one file each, behind [`Run`].
+
+mod check;
+mod completions;
+mod config;
+mod drain;
+mod job;
+mod listing;
+mod members;
+mod output;
+mod remote;
+mod request;
+mod serve;
+mod upstreams;
+
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+
+use crate::error::Error;
+
+/// Result of a subcommand; the code tells the verdict.
+pub type Result = miette::Result<ExitCode>;
+
+/// A subcommand.
+pub trait Run: Sync {
+    /// Its name and arguments.
+    fn command(&self) -> Command;
+
+    /// Runs it.
+    ///
+    /// # Errors
+    /// Whatever a person should read.
+    fn run(&self, matches: &ArgMatches) -> Result;
+}
+
+/// Exit code for faults of the input.
+const USAGE: u8 = 2;
+
+/// The daemon's command line.
+pub fn daemon() -> Tool {
+    Tool {
+        name: "eelgrassvalved",
+        about: "Daemon of eelgrassvalve, a scheduler for multi-accelerator jobs",
+        remote: false,
+        commands: vec![
+            Box::new(serve::Serve),
+            Box::new(serve::Bootstrap),
+            Box::new(check::Check),
+            Box::new(completions::Completions { of: daemon }),
+        ],
+    }
+}
+
+/// The tool's command line.
+pub fn tool() -> Tool {
+    Tool {
+        name: "eelgrassvalve",
+        about: "Drives eelgrassvalve: configuration, jobs, requests and status",
+        remote: true,
+        commands: vec![
+            Box::new(config::Config),
+            Box::new(listing::Status),
+            Box::new(listing::Workers),
+            Box::new(upstreams::Upstreams),
+            Box::new(members::Members),
+            Box::new(job::Job),
+            Box::new(request::Request),
+            Box::new(drain::Drain),
+            Box::new(completions::Completions { of: tool }),
+        ],
+    }
+}
+
+/// A program: its name and subcommands.
+pub struct Tool {
+    name: &'static str,
+    about: &'static str,
+    remote: bool,
+    commands: Vec<Box<dyn Run>>,
+}
+
+impl Tool {
+    /// Its clap command.
+    pub fn command(&self) -> Command {
+        let mut command = Command::new(self.name)
+            .about(self.about)
+            .version(env!("CARGO_PKG_VERSION"))
+            .subcommand_required(true)
+            .arg_required_else_help(true);
+        if self.remote {
+            command = command.args(remote::args());
+        }
+        for sub in &self.commands {
+            command = command.subcommand(sub.command());
+        }
+        command
+    }
+
+    /// Parses the arguments and runs a subcommand.
+    pub fn main(&self) -> ExitCode {
+        let matches = self.command().get_matches();
+        let Some((name, sub)) = matches.subcommand() else { return ExitCode::from(USAGE) };
+        let found = self.commands.iter().find(|command| command.command().get_name() == name);
+        let Some(command) = found else { return ExitCode::from(USAGE) };
+        match command.run(sub) {
+            Ok(code) => code,
+            Err(report) => fail(&report),
+        }
+    }
+}
+
+// The verdict of a typed error is the exit code.
+fn fail(report: &miette::Report) -> ExitCode {
+    eprintln!("{report:?}");
+    match report.downcast_ref::<Error>() {
+        Some(error) => ExitCode::from(error.verdict.exit_code().max(1)),
+        None => ExitCode::from(USAGE),
+    }
+}
+
+// Runs a future on a runtime of its own.
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be started");
+    runtime.block_on(future)
+}
--- /dev/null
+++ b/src/cmd/upstreams.rs
@@ -0,0 +1,20 @@
+//! `eelgrassvalve upstreams`.
+
+use clap::{ArgMatches, Command};
+
+use super::{Run, block_on, output, remote};
+use crate::routing::upstream::Row;
+
+/// Prints the upstreams that the asked entry knows.
+pub(super) struct Upstreams;
+
+impl Run for Upstreams {
+    fn command(&self) -> Command {
+        Command::new("upstreams").about("Prints the upstreams that the asked entry knows")
+    }
+
+    fn run(&self, matches: &ArgMatches) -> super::Result {
+        let rows: Vec<Row> = block_on(remote::operators(matches).get("/v1/upstreams"))?;
+        output::print(matches, &rows)
+    }
+}
--- /dev/null
+++ b/src/control/client.rs
@@ -0,0 +1,149 @@
+//! Finds the leader and calls it, from any daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Control;
+use crate::error::{Code, Error, Result};
+use crate::kernel::timer::Timer;
+use crate::mesh::Mesh;
+use crate::mesh::call::{Answer, Call};
+use crate::settings::Settings;
+use crate::state::{Command, Reply};
+use crate::verdict::Verdict;
+
+/// Wait before the leader is looked for again.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for one daemon's answer.
+const ATTEMPT: Duration = Duration::from_millis(1_500);
+
+/// A client of the control members.
+#[derive(Clone)]
+pub struct Client {
+    own: String,
+    mesh: Mesh,
+    timer: Timer,
+    local: Option<Arc<Control>>,
+    members: Vec<String>,
+    hint: Arc<std::sync::Mutex<Option<String>>>,
+}
+
+impl Client {
+    /// A client for the daemon of these settings.
+    pub fn new(settings: &Settings, timer: Timer, mesh: Mesh, local: Option<Arc<Control>>) -> Self {
+        let mut members: Vec<String> = Vec::new();
+        for peer in &settings.peers {
+            if peer.is_control {
+                members.push(peer.name.clone());
+            }
+        }
+        if local.is_some() {
+            members.push(settings.name.clone());
+        }
+        Self { own: settings.name.clone(), mesh, timer, local, members, hint: Arc::default() }
+    }
+
+    /// Orders a durable change. Commands are idempotent, so they are resent until the deadline.
+    ///
+    /// # Errors
+    /// The machine's refusal, or `no_quorum` with the verdict that the sends allow.
+    pub async fn propose(&self, command: Command, within: Duration) -> Result<Reply> {
+        match self.call(Call::Propose(command), within).await? {
+            Answer::Reply(reply) => Ok(reply),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// Calls the leader, wherever it is, until the deadline.
+    ///
+    /// # Errors
+    /// The leader's refusal, or `no_quorum` with the verdict that the sends allow.
+    pub async fn call(&self, call: Call, within: Duration) -> Result<Answer> {
+        let until_ms = self.timer.now_ms() + within.as_millis() as u64;
+        let mut verdict = Verdict::NotRun;
+        let mut turn = 0;
+        loop {
+            let left_ms = until_ms.saturating_sub(self.timer.now_ms());
+            if left_ms == 0 {
+                return Err(Error::new(verdict, Code::NoQuorum, "no leader answers"));
+            }
+            let target = self.target(turn);
+            turn += 1;
+            let patience = Duration::from_millis(left_ms).min(patience(&call));
+            match self.call_one(&target, call.clone(), patience).await {
+                Ok(Answer::Redirect(leader)) => {
+                    self.set_hint(leader.filter(|name| *name != target))
+                }
+                Ok(answer) => {
+                    self.set_hint(Some(target));
+                    return Ok(answer);
+                }
+                Err(error) if is_final(&error) => return Err(error),
+                Err(error) => {
+                    verdict = verdict.max(error.verdict);
+                    self.set_hint(None);
+                }
+            }
+            if self.hint().is_none() {
+                self.timer.sleep(PAUSE).await;
+            }
+        }
+    }
+
+    fn target(&self, turn: usize) -> String {
+        if let Some(leader) = self.local.as_ref().and_then(|local| local.leader()) {
+            // A cut-off member may name a leader that is gone: every other turn asks around.
+            if turn.is_multiple_of(2) {
+                return leader;
+            }
+        }
+        if let Some(hint) = self.hint() {
+            return hint;
+        }
+        let count = self.members.len().max(1);
+        self.members.get(turn % count).cloned().unwrap_or_default()
+    }
+
+    async fn call_one(&self, target: &str, call: Call, within: Duration) -> Result<Answer> {
+        if target != self.own {
+            return self.mesh.call(target, call, within).await;
+        }
+        let Some(local) = &self.local else {
+            return Err(Error::not_run(Code::NoQuorum, "no control member here"));
+        };
+        match tokio::time::timeout(within, local.on_call(&self.own, call)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(Error::may_have_run(Code::NoQuorum, "no quorum answers")),
+        }
+    }
+
+    fn hint(&self) -> Option<String> {
+        self.hint.lock().ok().and_then(|hint| hint.clone())
+    }
+
+    fn set_hint(&self, leader: Option<String>) {
+        if let Ok(mut hint) = self.hint.lock() {
+            *hint = leader;
+        }
+    }
+}
+
+// Calls that wait by design get their own patience.
+fn patience(call: &Call) -> Duration {
+    const MARGIN: Duration = Duration::from_millis(500);
+    const MEMBERSHIP: Duration = Duration::from_secs(15);
+    match call {
+        Call::AwaitInForce { within_ms, .. } => Duration::from_millis(*within_ms) + MARGIN,
+        Call::AddMember { .. } | Call::Change(_) => MEMBERSHIP,
+        _ => ATTEMPT,
+    }
+}
+
+// Only troubles of the group itself are worth another try.
+fn is_final(error: &Error) -> bool {
+    !matches!(error.code, Code::NoQuorum | Code::NotLeader)
+}
+
+fn unexpected(answer: &Answer) -> Error {
+    Error::may_have_run(Code::Internal, format!("unexpected answer {answer:?}"))
+}
--- /dev/null
+++ b/src/control/group.rs
@@ -0,0 +1,414 @@
+//! Runs a replica: one thread that owns the replica and its disk.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::time::Duration;
+
+use tokio::sync::{oneshot, watch};
+
+use super::status::Member;
+use crate::error::{Code, Error, Result};
+use crate::kernel::lock::Table;
+use crate::kernel::timer::{Timer, wall_ms};
+use crate::mesh::Mesh;
+use crate::mesh::frame::{decode, encode};
+use crate::replica::member::{Change, Id};
+use crate::replica::store::{self, Store};
+use crate::replica::{Effect, Entry, Input, Message, Payload, Refusal, Replica, Saved, Timing};
+use crate::settings::Settings;
+use crate::state::{Command, Machine, Reply, Stamped};
+use crate::telemetry::Metrics;
+
+/// Inputs that wait for the thread.
+const QUEUE: usize = 8_192;
+/// Inputs that share one sync.
+const BATCH: usize = 512;
+/// Longest wait for a read or a hand-over.
+const READ: Duration = Duration::from_secs(2);
+
+/// Role and leader, as last seen.
+#[derive(Clone, Debug, Default)]
+pub struct Standing {
+    /// Whether this member leads.
+    pub leads: bool,
+    /// Since when, on the daemon's clock, in milliseconds.
+    pub since_ms: u64,
+    /// Name of the leader's daemon.
+    pub leader_name: Option<String>,
+    /// Term.
+    pub term: u64,
+    /// Highest committed index.
+    pub commit: u64,
+    /// Members.
+    pub members: Vec<Member>,
+}
+
+enum Request {
+    Propose { command: Box<Command>, done: oneshot::Sender<Result<Reply>> },
+    Change { change: Change, done: oneshot::Sender<Result<Reply>> },
+    Read { done: oneshot::Sender<Result<Reply>> },
+    Message { from: Id, message: Message },
+    Transfer,
+}
+
+/// Handle of the thread.
+#[derive(Debug)]
+pub struct Group {
+    requests: SyncSender<Request>,
+    standing: watch::Receiver<Standing>,
+}
+
+impl Group {
+    /// Starts the thread.
+    pub fn start(
+        settings: &Settings,
+        timer: Timer,
+        mesh: Mesh,
+        store: Store,
+        saved: Saved,
+        machine: Arc<Table<Machine>>,
+    ) -> Self {
+        let (requests, receiver) = sync_channel(QUEUE);
+        let (sender, standing) = watch::channel(Standing::default());
+        let timing = Timing {
+            heartbeat_ms: settings.times.heartbeat_ms,
+            election_ms: settings.times.election_ms,
+        };
+        restore(&machine, &saved.snapshot.data.0);
+        let replica = Replica::new(store.id(), timing, saved, rand::random(), timer.now_ms());
+        let driver = Driver {
+            replica,
+            store,
+            machine,
+            mesh,
+            timer,
+            log_bytes: settings.limits.log_bytes,
+            standing: sender,
+            next_token: 1,
+            asked: BTreeMap::new(),
+            placed: BTreeMap::new(),
+            reads: Vec::new(),
+            applied: 0,
+        };
+        let tick = Duration::from_millis((timing.heartbeat_ms / 4).max(5));
+        let named = std::thread::Builder::new().name("replica".into());
+        named.spawn(move || driver.run(&receiver, tick)).expect("a thread can be started");
+        Self { requests, standing }
+    }
+
+    /// Role and leader as last seen.
+    pub fn standing(&self) -> Standing {
+        self.standing.borrow().clone()
+    }
+
+    /// Takes a message from another replica; dropped where the thread is overloaded.
+    pub fn receive(&self, from: Id, message: Message) {
+        let _ = self.requests.try_send(Request::Message { from, message });
+    }
+
+    /// Orders a command and returns the machine's reply.
+    ///
+    /// # Errors
+    /// `not_run` where it was not written; `may_have_run` where its fate is unknown.
+    pub async fn propose(&self, command: Command, within: Duration) -> Result<Reply> {
+        let (done, answer) = oneshot::channel();
+        let command = Box::new(command);
+        self.ask(Request::Propose { command, done })?;
+        wait(answer, within).await
+    }
+
+    /// Changes the membership.
+    ///
+    /// # Errors
+    /// As for [`Group::propose`].
+    pub async fn change(&self, change: Change, within: Duration) -> Result<()> {
+        let (done, answer) = oneshot::channel();
+        self.ask(Request::Change { change, done })?;
+        wait(answer, within).await.map(|_| ())
+    }
+
+    /// Waits until the machine is current as of this call.
+    ///
+    /// # Errors
+    /// Where this member does not lead, or no quorum answers.
+    pub async fn read(&self) -> Result<()> {
+        let (done, answer) = oneshot::channel();
+        self.ask(Request::Read { done })?;
+        match wait(answer, READ).await {
+            Ok(_) => Ok(()),
+            // A read changes nothing, whatever became of it.
+            Err(error) => Err(Error::not_run(error.code, error.message)),
+        }
+    }
+
+    /// Asks for a transfer and waits until this member does not lead.
+    pub async fn hand_over(&self) {
+        if !self.standing().leads {
+            return;
+        }
+        let _ = self.requests.try_send(Request::Transfer);
+        let mut standing = self.standing.clone();
+        let _ = tokio::time::timeout(READ, standing.wait_for(|s| !s.leads)).await;
+    }
+
+    fn ask(&self, request: Request) -> Result<()> {
+        let sent = self.requests.try_send(request);
+        sent.map_err(|_| Error::not_run(Code::NoQuorum, "the control member is overloaded"))
+    }
+}
+
+async fn wait(answer: oneshot::Receiver<Result<Reply>>, within: Duration) -> Result<Reply> {
+    match tokio::time::timeout(within, answer).await {
+        Ok(Ok(reply)) => reply,
+        _ => Err(Error::may_have_run(Code::NoQuorum, "no quorum of control members answers")),
+    }
+}
+
+fn restore(machine: &Table<Machine>, data: &[u8]) {
+    let restored = if data.is_empty() {
+        Machine::default()
+    } else {
+        decode(data).expect("a snapshot with a valid checksum decodes")
+    };
+    *machine.lock() = restored;
+}
+
+struct Driver {
+    replica: Replica,
+    store: Store,
+    machine: Arc<Table<Machine>>,
+    mesh: Mesh,
+    timer: Timer,
+    log_bytes: u64,
+    standing: watch::Sender<Standing>,
+    next_token: u64,
+    // Asked of the replica, not yet at an index.
+    asked: BTreeMap<u64, oneshot::Sender<Result<Reply>>>,
+    // At an index and term, not yet committed.
+    placed: BTreeMap<u64, (u64, oneshot::Sender<Result<Reply>>)>,
+    // Readable once this index is applied.
+    reads: Vec<(u64, oneshot::Sender<Result<Reply>>)>,
+    applied: u64,
+}
+
+impl Driver {
+    fn run(mut self, receiver: &Receiver<Request>, tick: Duration) {
+        self.applied = self.replica.commit();
+        self.publish();
+        let mut ticked_ms = 0;
+        loop {
+            let mut effects = Vec::new();
+            match receiver.recv_timeout(tick) {
+                Ok(request) => self.take(request, &mut effects),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            for request in receiver.try_iter().take(BATCH) {
+                self.take(request, &mut effects);
+            }
+            let now_ms = self.timer.now_ms();
+            if now_ms >= ticked_ms + tick.as_millis() as u64 {
+                ticked_ms = now_ms;
+                effects.extend(self.replica.step(Input::Tick, now_ms));
+            }
+            if let Err(error) = self.perform(effects) {
+                // What was not synced must never be acknowledged.
+                tracing::error!(%error, "the data folder failed; stopping");
+                std::process::exit(74);
+            }
+        }
+    }
+
+    fn take(&mut self, request: Request, effects: &mut Vec<Effect>) {
+        let now_ms = self.timer.now_ms();
+        let input = match request {
+            Request::Propose { command, done } => {
+                let stamped = Stamped { at_ms: wall_ms(), command: *command };
+                Input::Propose { token: self.ask(done), command: encode(&stamped) }
+            }
+            Request::Change { change, done } => Input::Change { token: self.ask(done), change },
+            Request::Read { done } => Input::Read { token: self.ask(done) },
+            Request::Message { from, message } => Input::Message { from, message },
+            Request::Transfer => Input::Transfer,
+        };
+        effects.extend(self.replica.step(input, now_ms));
+    }
+
+    fn ask(&mut self, done: oneshot::Sender<Result<Reply>>) -> u64 {
+        let token = self.next_token;
+        self.next_token += 1;
+        self.asked.insert(token, done);
+        token
+    }
+
+    // Persists everything first, so that one sync covers the whole batch.
+    fn perform(&mut self, effects: Vec<Effect>) -> store::Result<()> {
+        let mut queue = effects;
+        while !queue.is_empty() {
+            let synced = self.persist(&queue)?;
+            let mut next = Vec::new();
+            for effect in queue {
+                self.carry_out(effect);
+            }
+            if let Some((index, term)) = synced {
+                let now_ms = self.timer.now_ms();
+                next = self.replica.step(Input::Synced { index, term }, now_ms);
+            }
+            queue = next;
+        }
+        if self.store.log_bytes() > self.log_bytes
+            && self.applied > self.replica.log().snapshot().index
+        {
+            let data = encode(&*self.machine.lock());
+            let input = Input::Compact { index: self.applied, data };
+            let now_ms = self.timer.now_ms();
+            let effects = self.replica.step(input, now_ms);
+            self.persist(&effects)?;
+        }
+        Ok(())
+    }
+
+    fn persist(&mut self, effects: &[Effect]) -> store::Result<Option<(u64, u64)>> {
+        let mut last = None;
+        for effect in effects {
+            match effect {
+                Effect::Vote(vote) => self.store.save_vote(*vote)?,
+                Effect::Append(entries) => {
+                    self.store.append(entries)?;
+                    last = entries.last().map(|entry| (entry.index, entry.term));
+                }
+                Effect::Snapshot { snapshot, reset } => {
+                    let keep = if *reset { Vec::new() } else { self.kept_entries(snapshot.index) };
+                    self.store.save_snapshot(snapshot, &keep)?;
+                }
+                _ => {}
+            }
+        }
+        if last.is_some() {
+            self.store.sync()?;
+            Metrics::global().count_log_sync();
+        }
+        Ok(last)
+    }
+
+    fn kept_entries(&self, after: u64) -> Vec<Entry> {
+        self.replica.log().from(after + 1, usize::MAX)
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Vote(_) | Effect::Append(_) => {}
+            Effect::Snapshot { snapshot, reset } => {
+                if reset {
+                    restore(&self.machine, &snapshot.data.0);
+                    self.applied = snapshot.index;
+                }
+            }
+            Effect::Send { to, message } => self.mesh.send_replica(to, message),
+            Effect::Commit(entries) => self.apply(entries),
+            Effect::Proposed { token, index, term } => {
+                if let Some(done) = self.asked.remove(&token) {
+                    self.placed.insert(index, (term, done));
+                }
+            }
+            Effect::Refused { token, refusal } => {
+                if let Some(done) = self.asked.remove(&token) {
+                    let _ = done.send(Err(refused(refusal)));
+                }
+            }
+            Effect::Readable { token, index } => {
+                if let Some(done) = self.asked.remove(&token) {
+                    self.reads.push((index, done));
+                }
+                self.answer_reads();
+            }
+            Effect::Role { leads, leader, term } => {
+                tracing::info!(leads, leader = leader.map(|id| id.to_string()), term, "role");
+                if leads {
+                    Metrics::global().count_election();
+                }
+                self.publish();
+            }
+        }
+    }
+
+    fn apply(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            let reply = match &entry.payload {
+                Payload::Command(bytes) => self.apply_command(&bytes.0),
+                Payload::Noop | Payload::Members(_) => Ok(Reply::Done),
+            };
+            self.applied = entry.index;
+            let Some((term, done)) = self.placed.remove(&entry.index) else { continue };
+            let reply = if term == entry.term {
+                reply
+            } else {
+                Err(Error::not_run(Code::NotLeader, "leadership moved; the change was dropped"))
+            };
+            let _ = done.send(reply);
+        }
+        self.publish();
+        self.answer_reads();
+    }
+
+    fn apply_command(&self, bytes: &[u8]) -> Result<Reply> {
+        match decode::<Stamped>(bytes) {
+            Ok(stamped) => self.machine.lock().apply(&stamped),
+            Err(malformed) => Err(Error::not_run(Code::Internal, malformed.to_string())),
+        }
+    }
+
+    fn answer_reads(&mut self) {
+        let applied = self.applied;
+        for (index, done) in std::mem::take(&mut self.reads) {
+            if index <= applied {
+                let _ = done.send(Ok(Reply::Done));
+            } else {
+                self.reads.push((index, done));
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let members = self.replica.members();
+        let followers = self.replica.followers();
+        let row = |id: &Id, name: &String, is_voter| {
+            let known = followers.iter().find(|(other, _, _)| other == id);
+            let own = (self.replica.log().last_index(), 0);
+            let (matched, silent_ms) =
+                known.map_or(own, |(_, matched, silent)| (*matched, *silent));
+            Member { id: id.to_string(), name: name.clone(), is_voter, matched, silent_ms }
+        };
+        let mut rows = Vec::new();
+        for (id, name) in &members.voters {
+            rows.push(row(id, name, true));
+        }
+        for (id, name) in &members.learners {
+            rows.push(row(id, name, false));
+        }
+        let leader = self.replica.leader();
+        let leads = self.replica.leads();
+        let now_ms = self.timer.now_ms();
+        let term = self.replica.term();
+        self.standing.send_modify(|standing| {
+            if standing.leads != leads || standing.term != term {
+                standing.since_ms = now_ms;
+            }
+            standing.leads = leads;
+            standing.leader_name = leader.and_then(|id| members.name(id)).map(str::to_string);
+            standing.term = term;
+            standing.commit = self.replica.commit();
+            standing.members = rows;
+        });
+    }
+}
+
+fn refused(refusal: Refusal) -> Error {
+    let code = match refusal {
+        Refusal::NotLeader => Code::NotLeader,
+        Refusal::Busy => Code::Conflict,
+        Refusal::Impossible => Code::Unsatisfiable,
+    };
+    Error::not_run(code, refusal.to_string())
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,342 @@
+//! Control members: the replicated state and the leader's duties.
+
+pub mod client;
+pub mod fleet;
+mod group;
+mod lease;
+mod scheduler;
+pub mod status;
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use crate::error::{Code, Error, Result};
+use crate::kernel::lock::{Rank, Table};
+use crate::kernel::timer::Timer;
+use crate::mesh::Mesh;
+use crate::mesh::call::{Answer, Call, Lease, Renewal};
+use crate::mesh::frame::Notice;
+use crate::placement::Policy;
+use crate::placement::order::{Order, orders};
+use crate::placement::report::Report;
+use crate::replica::member::{self, Id};
+use crate::replica::{Message, store};
+use crate::settings::Settings;
+use crate::state::claim::{Grant, Key};
+use crate::state::{Command, Machine, Reply, job};
+pub use group::{Group, Standing};
+
+/// Longest wait for a change to be committed.
+const COMMIT: Duration = Duration::from_secs(5);
+
+/// A control member.
+pub struct Control {
+    settings: Settings,
+    timer: Timer,
+    mesh: Mesh,
+    group: Group,
+    machine: Arc<Table<Machine>>,
+    leases: Table<lease::Table>,
+    fleet: Table<fleet::Table>,
+    policy: Table<Option<(String, Box<dyn Policy>)>>,
+    // Woken where a lease was renewed or ran out.
+    renewed: Notify,
+    // Woken where jobs or workers changed.
+    changed: Notify,
+    local: OnceLock<Box<dyn Fn(Notice) + Send + Sync>>,
+}
+
+impl Control {
+    /// Starts the member on its data folder.
+    pub fn start(
+        settings: &Settings,
+        timer: Timer,
+        mesh: Mesh,
+        store: store::Store,
+        saved: crate::replica::Saved,
+    ) -> Arc<Self> {
+        let machine = Arc::new(Table::new(Rank::Machine, Machine::default()));
+        let group =
+            Group::start(settings, timer.clone(), mesh.clone(), store, saved, machine.clone());
+        let control = Arc::new(Self {
+            settings: settings.clone(),
+            timer,
+            mesh,
+            group,
+            machine,
+            leases: Table::new(Rank::Leases, lease::Table::default()),
+            fleet: Table::new(Rank::Workers, fleet::Table::default()),
+            policy: Table::new(Rank::Policy, None),
+            renewed: Notify::new(),
+            changed: Notify::new(),
+            local: OnceLock::new(),
+        });
+        tokio::spawn(scheduler::run(control.clone()));
+        control
+    }
+
+    /// Role and leader as last seen.
+    pub fn standing(&self) -> Standing {
+        self.group.standing()
+    }
+
+    /// A message from another replica.
+    pub fn on_replica(&self, from: Id, message: Message) {
+        self.group.receive(from, message);
+    }
+
+    /// Hands leadership to another member, if this one leads.
+    pub async fn hand_over(&self) {
+        self.group.hand_over().await;
+    }
+
+    /// Name of the leader's daemon, if one is known.
+    pub fn leader(&self) -> Option<String> {
+        self.standing().leader_name
+    }
+
+    /// Answers a call; a member that does not lead redirects.
+    ///
+    /// # Errors
+    /// The typed refusal of the call.
+    pub async fn on_call(&self, from: &str, call: Call) -> Result<Answer> {
+        let standing = self.standing();
+        if !standing.leads {
+            return Ok(Answer::Redirect(standing.leader_name));
+        }
+        match call {
+            Call::Propose(command) => self.propose(command).await.map(Answer::Reply),
+            Call::Renew(renewal) => self.renew(from, &renewal).await.map(Answer::Lease),
+            Call::AwaitInForce { version, within_ms } => {
+                Ok(Answer::InForce(self.await_in_force(version, within_ms).await))
+            }
+            Call::Report(report) => self.report(from, report).await.map(Answer::Orders),
+            Call::Change(change) => {
+                self.change_members(change).await?;
+                Ok(Answer::Done)
+            }
+            Call::AddMember { name } => {
+                self.add_member(&name).await?;
+                Ok(Answer::Done)
+            }
+            read => {
+                self.group.read().await?;
+                Ok(self.read(read))
+            }
+        }
+    }
+
+    /// Sets what takes notices for the entry of the same daemon.
+    pub fn on_local_notice(&self, take: impl Fn(Notice) + Send + Sync + 'static) {
+        // Set once, when the daemon is put together.
+        let _ = self.local.set(Box::new(take));
+    }
+
+    fn local_notice(&self, notice: Notice) {
+        if let Some(take) = self.local.get() {
+            take(notice);
+        }
+    }
+
+    async fn propose(&self, command: Command) -> Result<Reply> {
+        let affects_jobs = !matches!(&command, Command::Claim(_) | Command::Settle(_));
+        let cancelled = match &command {
+            Command::Job(job::Command::Cancel { ids, .. }) => self.workers_of(ids),
+            _ => BTreeSet::new(),
+        };
+        let reply = self.group.propose(command, COMMIT).await?;
+        if let Reply::Configured(version) = reply {
+            self.mesh.broadcast(&Notice::Configured { version });
+            self.local_notice(Notice::Configured { version });
+        }
+        for worker in cancelled {
+            scheduler::push_orders(self, &worker);
+        }
+        if affects_jobs {
+            self.changed.notify_one();
+        }
+        Ok(reply)
+    }
+
+    /// Workers that hold parts of these jobs.
+    fn workers_of(&self, ids: &[String]) -> BTreeSet<String> {
+        let machine = self.machine.lock();
+        let mut workers = BTreeSet::new();
+        for id in ids {
+            let Some(gang) = machine.jobs.get(id).and_then(|job| job.phase.gang()) else {
+                continue;
+            };
+            workers.extend(gang.parts.iter().map(|part| part.worker.clone()));
+        }
+        workers
+    }
+
+    async fn renew(&self, from: &str, renewal: &Renewal) -> Result<Lease> {
+        // Only a current leader may grant: an old one might hand out an old document.
+        self.group.read().await?;
+        let now_ms = self.timer.now_ms();
+        let length_ms = self.settings.times.entry_lease_ms;
+        let (version, document) = {
+            let machine = self.machine.lock();
+            let newer = machine.config.version > renewal.version;
+            let document = newer.then(|| Box::new(machine.config.document.clone()));
+            (machine.config.version, document)
+        };
+        let entries = {
+            let mut leases = self.leases.lock();
+            leases.grant(from, renewal, now_ms + length_ms);
+            leases.live(now_ms)
+        };
+        self.fleet.lock().hear(from, &renewal.workers, now_ms);
+        self.renewed.notify_waiters();
+        let term = self.standing().term;
+        Ok(Lease { length_ms, term, version, document, entries })
+    }
+
+    async fn await_in_force(&self, version: u64, within_ms: u64) -> bool {
+        let until_ms = self.timer.now_ms() + within_ms;
+        loop {
+            let renewed = self.renewed.notified();
+            let now_ms = self.timer.now_ms();
+            let settled = self.knows_leases(now_ms);
+            let next_ms = self.leases.lock().in_force_at(version, now_ms);
+            if settled && next_ms.is_none() {
+                return self.standing().leads;
+            }
+            if now_ms >= until_ms || !self.standing().leads {
+                return false;
+            }
+            let wake_ms = next_ms.unwrap_or(now_ms + 50).clamp(now_ms + 1, until_ms);
+            tokio::select! {
+                () = renewed => {}
+                () = self.timer.sleep_until(wake_ms) => {}
+            }
+        }
+    }
+
+    // A new leader does not know which leases the old one gave, nor when it noticed its end.
+    fn knows_leases(&self, now_ms: u64) -> bool {
+        let quiet_ms = self.settings.times.entry_lease_ms + self.settings.times.election_ms * 2;
+        now_ms >= self.standing().since_ms + quiet_ms
+    }
+
+    fn claim(&self, key: Key) -> Option<Grant> {
+        let now_ms = self.timer.now_ms();
+        let grant = self.machine.lock().claims.get(key);
+        let Some(Grant::Pending(owner)) = &grant else { return grant };
+        let lost = !self.leases.lock().is_live(&owner.entry, owner.incarnation, now_ms);
+        if lost && self.knows_leases(now_ms) {
+            return Some(Grant::MayHaveRun);
+        }
+        grant
+    }
+
+    async fn report(&self, from: &str, report: Report) -> Result<Vec<Order>> {
+        let worker = report.worker.clone();
+        let now_ms = self.timer.now_ms();
+        self.fleet.lock().report(from, report, now_ms);
+        self.changed.notify_one();
+        Ok(self.orders(&worker))
+    }
+
+    fn orders(&self, worker: &str) -> Vec<Order> {
+        let machine = self.machine.lock();
+        orders(&machine.jobs, worker, machine.config.document.placement.checkpoint_grace_ms)
+    }
+
+    async fn change_members(&self, change: member::Change) -> Result<()> {
+        self.group.change(change, COMMIT).await
+    }
+
+    async fn add_member(&self, name: &str) -> Result<()> {
+        let Some(hello) = self.mesh.hello(name) else {
+            let message = format!("no link to a daemon named {name}");
+            return Err(Error::not_run(Code::NotFound, message));
+        };
+        if !hello.is_control {
+            let message = format!("{name} is not a control daemon");
+            return Err(Error::not_run(Code::Unsatisfiable, message));
+        }
+        let id = hello.id;
+        let change = member::Change::Add { id, name: name.into() };
+        self.change_members(change).await?;
+        self.promote(id).await
+    }
+
+    // A learner that has not caught up is refused; it is asked again until the wait is over.
+    async fn promote(&self, id: Id) -> Result<()> {
+        const POLL: Duration = Duration::from_millis(100);
+        const ROUNDS: usize = 100;
+        let mut last = Error::not_run(Code::Conflict, "the learner has not caught up");
+        for _ in 0..ROUNDS {
+            match self.change_members(member::Change::Promote { id }).await {
+                Ok(()) => return Ok(()),
+                Err(error) => last = error,
+            }
+            self.timer.sleep(POLL).await;
+        }
+        Err(last)
+    }
+
+    fn read(&self, call: Call) -> Answer {
+        match call {
+            Call::Config => {
+                let machine = self.machine.lock();
+                let document = Box::new(machine.config.document.clone());
+                Answer::Config { version: machine.config.version, document }
+            }
+            Call::Claim(key) => Answer::Claim(self.claim(key)),
+            Call::Job { id } => {
+                Answer::Job(self.machine.lock().jobs.get(&id).cloned().map(Box::new))
+            }
+            Call::Jobs { customer } => {
+                let machine = self.machine.lock();
+                let all = machine.jobs.live.values().chain(machine.jobs.ended.values());
+                let wanted = all.filter(|job| customer.as_ref().is_none_or(|c| job.customer == *c));
+                Answer::Jobs(wanted.cloned().collect())
+            }
+            Call::Explain { id } => Answer::Text(scheduler::explain(self, &id)),
+            Call::Check(document) => Answer::Faults(document.faults()),
+            Call::Status => Answer::Status(Box::new(self.status())),
+            Call::Workers => Answer::Workers(self.workers()),
+            _ => Answer::Done,
+        }
+    }
+
+    fn status(&self) -> status::Cluster {
+        let now_ms = self.timer.now_ms();
+        let machine = self.machine.lock();
+        let mut jobs = std::collections::BTreeMap::new();
+        for job in machine.jobs.live.values() {
+            *jobs.entry(job.phase.name().to_string()).or_insert(0) += 1;
+        }
+        let entries = self.leases.lock().live(now_ms);
+        let standing = self.standing();
+        status::Cluster {
+            leader: self.settings.name.clone(),
+            term: standing.term,
+            commit: standing.commit,
+            config_version: machine.config.version,
+            claims: machine.claims.len() as u64,
+            members: standing.members,
+            entries,
+            workers: self.fleet.lock().live(now_ms, self.patience_ms()).len() as u64,
+            jobs,
+        }
+    }
+
+    fn workers(&self) -> Vec<status::Worker> {
+        let now_ms = self.timer.now_ms();
+        let machine = self.machine.lock();
+        let fleet = self.fleet.lock();
+        fleet.status(&machine.workers, machine.now_ms, now_ms, self.patience_ms())
+    }
+
+    /// Milliseconds of silence after which no lease of a worker can still run.
+    fn patience_ms(&self) -> u64 {
+        lease::worker_silence_ms(&self.settings.times)
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,170 @@
+//! The daemon: puts the parts together and takes them down in order.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use miette::{IntoDiagnostic, WrapErr};
+use tokio::sync::watch;
+
+use crate::control::Control;
+use crate::control::client::Client;
+use crate::entry::{Entry, listen, standing, token};
+use crate::error::Result;
+use crate::kernel::timer::Timer;
+use crate::mesh::call::{Answer, Call};
+use crate::mesh::frame::{Hello, Notice, VERSION};
+use crate::mesh::{Mesh, Receiver};
+use crate::replica::member::Id;
+use crate::replica::{Message, store};
+use crate::settings::Settings;
+
+/// Life cycle: read and opened, but not yet on the network.
+pub struct Starting {
+    store: Option<(store::Store, crate::replica::Saved)>,
+    tokens: token::Table,
+    key: Vec<u8>,
+}
+
+/// Life cycle: on the network.
+pub struct Serving {
+    entry: Arc<Entry>,
+    control: Option<Arc<Control>>,
+}
+
+/// A daemon in a state of its life cycle.
+pub struct Daemon<S> {
+    settings: Settings,
+    state: S,
+}
+
+struct Parts {
+    entry: Arc<Entry>,
+    control: Option<Arc<Control>>,
+}
+
+impl Receiver for Parts {
+    fn on_replica(&self, from: Id, message: Message) {
+        if let Some(control) = &self.control {
+            control.on_replica(from, message);
+        }
+    }
+
+    async fn on_call(self: Arc<Self>, from: String, call: Call) -> Result<Answer> {
+        match &self.control {
+            Some(control) => control.on_call(&from, call).await,
+            None => Ok(Answer::Redirect(None)),
+        }
+    }
+
+    fn on_notice(&self, from: &str, notice: Notice) {
+        self.entry.on_notice(from, notice);
+    }
+
+    fn on_link(&self, _peer: &Hello) {}
+}
+
+impl Daemon<Starting> {
+    /// Opens the files that the settings name.
+    ///
+    /// # Errors
+    /// Where a file can't be used.
+    pub fn open(settings: Settings) -> miette::Result<Self> {
+        let store = match &settings.data_folder {
+            Some(folder) if settings.is_control => Some(
+                store::Store::open(folder)
+                    .into_diagnostic()
+                    .wrap_err("the data folder can't be used")?,
+            ),
+            _ => None,
+        };
+        let tokens = match &settings.tokens {
+            Some(path) => token::Table::load(path).into_diagnostic()?,
+            None => token::Table::open(),
+        };
+        let key = std::fs::read(&settings.cluster_key)
+            .into_diagnostic()
+            .wrap_err_with(|| format!("cluster key {}", settings.cluster_key.display()))?;
+        let state = Starting { store, tokens, key: key.trim_ascii().to_vec() };
+        Ok(Self { settings, state })
+    }
+
+    /// Goes onto the network.
+    ///
+    /// # Errors
+    /// Where the mesh can't listen.
+    pub async fn start(self) -> miette::Result<Daemon<Serving>> {
+        let settings = self.settings;
+        let timer = Timer::system();
+        let id = self.state.store.as_ref().map(|(store, _)| store.id());
+        let hello = Hello {
+            version: VERSION,
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            id: id.unwrap_or_else(|| Id(rand::random())),
+            incarnation: rand::random(),
+            is_entry: settings.is_entry,
+            is_control: settings.is_control,
+        };
+        let mesh = Mesh::new(hello);
+        let control = self.state.store.map(|(store, saved)| {
+            Control::start(&settings, timer.clone(), mesh.clone(), store, saved)
+        });
+        let client = Client::new(&settings, timer.clone(), mesh.clone(), control.clone());
+        let tokens = self.state.tokens;
+        let entry = Entry::new(&settings, timer, mesh.clone(), client, tokens);
+        if let Some(control) = &control {
+            let own = entry.clone();
+            control.on_local_notice(move |notice| own.on_notice("", notice));
+        }
+        let parts = Arc::new(Parts { entry: entry.clone(), control: control.clone() });
+        let listening = mesh.start(&settings, self.state.key, parts).await;
+        listening
+            .into_diagnostic()
+            .wrap_err_with(|| format!("mesh listener {}", settings.listen.mesh))?;
+        if settings.is_entry {
+            tokio::spawn(standing::keep(entry.clone()));
+        }
+        Ok(Daemon { settings, state: Serving { entry, control } })
+    }
+}
+
+impl Daemon<Serving> {
+    /// Serves until a signal asks for a planned stop, then drains and returns.
+    ///
+    /// # Errors
+    /// Where a listener can't be bound.
+    pub async fn run(self) -> miette::Result<()> {
+        let (done, drained) = watch::channel(false);
+        let listeners = listen::run(self.state.entry.clone(), drained);
+        tokio::pin!(listeners);
+        tokio::select! {
+            ended = &mut listeners => return ended,
+            () = stop_signal() => {}
+        }
+        tracing::info!(name = self.settings.name, "planned stop");
+        let drain = async {
+            self.state.entry.drain().await;
+            if let Some(control) = &self.state.control {
+                control.hand_over().await;
+            }
+            // Followers learn of the new leader before this one's links go.
+            tokio::time::sleep(Duration::from_millis(self.settings.times.heartbeat_ms)).await;
+            done.send_replace(true);
+        };
+        let (ended, ()) = tokio::join!(listeners, drain);
+        ended
+    }
+}
+
+async fn stop_signal() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (Ok(mut term), Ok(mut int)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
--- /dev/null
+++ b/src/entry/caller.rs
@@ -0,0 +1,232 @@
+//! Listener for callers: requests and jobs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderMap, StatusCode, header};
+use serde::{Deserialize, Serialize};
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::param::PathParams;
+use volo_http::server::route::{Router, get, post};
+
+use super::request::{self, Asked};
+use super::{Entry, http as shared};
+use crate::error::{Code, Error, Result};
+use crate::mesh::call::{Answer, Call};
+use crate::state::claim;
+use crate::state::job::{self, Job, Spec};
+use crate::state::{Command, Reply};
+use crate::verdict::Verdict;
+
+/// Longest wait for a job change to be committed.
+const COMMIT: Duration = Duration::from_secs(5);
+/// Longest wait for a job's end in one request, in milliseconds.
+const WAIT_MS: u64 = 30_000;
+/// Greatest number of jobs in one cancel.
+const BATCH: usize = 10_000;
+
+/// A batch of jobs to cancel.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cancel {
+    /// Ids.
+    pub ids: Vec<String>,
+}
+
+/// How many jobs a cancel changed.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Cancelled {
+    /// Jobs that were live and are now cancelled or being stopped.
+    pub cancelled: u64,
+}
+
+/// Routes of the callers' listener.
+pub(super) fn router(entry: &Arc<Entry>) -> Router {
+    let (e1, e2, e3) = (entry.clone(), entry.clone(), entry.clone());
+    let (e4, e5, e6) = (entry.clone(), entry.clone(), entry.clone());
+    let run = move |PathParams(kind): PathParams<String>, request: Request| {
+        let entry = e1.clone();
+        async move { run(&entry, kind, request).await }
+    };
+    let submit = move |request: Request| {
+        let entry = e2.clone();
+        async move { shared::respond(submit(&entry, request).await) }
+    };
+    let list = move |request: Request| {
+        let entry = e3.clone();
+        async move { shared::respond(list(&entry, request.headers()).await) }
+    };
+    let fetch = move |PathParams(id): PathParams<String>, request: Request| {
+        let entry = e4.clone();
+        async move { shared::respond(fetch(&entry, &id, &request).await) }
+    };
+    let cancel_one = move |PathParams(id): PathParams<String>, request: Request| {
+        let entry = e5.clone();
+        async move { shared::respond(cancel(&entry, request.headers(), vec![id]).await) }
+    };
+    let cancel_many = move |request: Request| {
+        let entry = e6.clone();
+        async move { shared::respond(cancel_many(&entry, request).await) }
+    };
+    Router::new()
+        .route("/v1/requests/{kind}", post(run))
+        .route("/v1/jobs", get(list).post(submit))
+        .route("/v1/jobs/cancel", post(cancel_many))
+        .route("/v1/jobs/{id}", get(fetch).delete(cancel_one))
+}
+
+async fn run(entry: &Arc<Entry>, kind: String, request: Request) -> Response {
+    match try_run(entry, kind, request).await {
+        Ok(answer) => whole(answer),
+        Err(error) => shared::refuse(&error),
+    }
+}
+
+async fn try_run(entry: &Arc<Entry>, kind: String, request: Request) -> Result<claim::Answer> {
+    let (head, body) = request.into_parts();
+    let customer = entry.tokens.customer(&head.headers)?;
+    let key = shared::text(&head.headers, "idempotency-key")?.map(str::to_string);
+    if key.as_ref().is_some_and(|key| key.is_empty() || key.len() > 256) {
+        let message = "Idempotency-Key is not 1 to 256 characters long";
+        return Err(Error::not_run(Code::BadRequest, message));
+    }
+    let is_idempotent = match shared::text(&head.headers, "eelgrassvalve-idempotent")? {
+        None | Some("false") => false,
+        Some("true") => true,
+        Some(_) => {
+            let message = "Eelgrassvalve-Idempotent is neither true nor false";
+            return Err(Error::not_run(Code::BadRequest, message));
+        }
+    };
+    let deadline_ms = shared::number(&head.headers, "eelgrassvalve-deadline-ms")?;
+    let content_type = shared::text(&head.headers, header::CONTENT_TYPE.as_str())?;
+    let content_type = content_type.map(str::to_string);
+    let payload = entry.read(body, entry.settings.limits.body_bytes).await?;
+    let asked = Asked { kind, customer, payload, content_type, key, is_idempotent, deadline_ms };
+    request::serve(entry, asked).await
+}
+
+fn whole(answer: claim::Answer) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    match answer.body {
+        Some(body) => {
+            let content_type = answer.content_type.as_deref();
+            shared::answer(status, Verdict::Ran, content_type, body.into())
+        }
+        None => {
+            let message = "the request ran; its answer was too long to be kept";
+            shared::refuse(&Error::new(Verdict::Ran, Code::Conflict, message))
+        }
+    }
+}
+
+async fn submit(entry: &Entry, request: Request) -> Result<Job> {
+    let (head, body) = request.into_parts();
+    let customer = entry.tokens.customer(&head.headers)?;
+    let key = shared::text(&head.headers, "idempotency-key")?.map(str::to_string);
+    let bytes = entry.read(body, entry.settings.limits.body_bytes).await?;
+    let spec: Spec = shared::parse(&bytes)?;
+    check(entry, &customer, &spec)?;
+    let id = match key {
+        Some(key) if crate::state::document::is_name(&key) => format!("{customer}.{key}"),
+        Some(_) => {
+            let message = "the Idempotency-Key of a job is not 1 to 64 of a-z, 0-9, - and _";
+            return Err(Error::not_run(Code::BadRequest, message));
+        }
+        None => format!("{customer}.{}", uuid::Uuid::now_v7()),
+    };
+    let command = Command::Job(job::Command::Submit { id, customer, spec });
+    match entry.client.propose(command, COMMIT).await? {
+        Reply::Job(job) => Ok(*job),
+        other => Err(unexpected(&other)),
+    }
+}
+
+fn check(entry: &Entry, customer: &str, spec: &Spec) -> Result<()> {
+    if entry.is_draining() {
+        return Err(Error::not_run(Code::Stopping, "this entry is stopping"));
+    }
+    let document = entry.standing.lock().document.clone();
+    if document.customer(customer).is_none() {
+        let message = format!("no customer `{customer}` in the configuration");
+        return Err(Error::not_run(Code::Forbidden, message));
+    }
+    if document.kind(&spec.kind).is_none() {
+        let message = format!("no kind `{}` in the configuration", spec.kind);
+        return Err(Error::not_run(Code::NotFound, message));
+    }
+    let ranges = [
+        ("parts", u64::from(spec.parts), 1, 32),
+        ("accelerators", u64::from(spec.accelerators), 0, 32),
+        ("run_ms", spec.run_ms, 0, 30 * 86_400_000),
+        ("payload length", spec.payload.len() as u64, 0, 64 << 10),
+    ];
+    for (name, value, low, high) in ranges {
+        if (low..=high).contains(&value) {
+            continue;
+        }
+        let message = format!("{name}: {value} is not from {low} to {high}");
+        return Err(Error::not_run(Code::BadRequest, message));
+    }
+    Ok(())
+}
+
+async fn list(entry: &Entry, headers: &HeaderMap) -> Result<Vec<Job>> {
+    let customer = Some(entry.tokens.customer(headers)?);
+    match entry.client.call(Call::Jobs { customer }, COMMIT).await? {
+        Answer::Jobs(jobs) => Ok(jobs),
+        other => Err(unexpected(&other)),
+    }
+}
+
+async fn fetch(entry: &Entry, id: &str, request: &Request) -> Result<Job> {
+    let customer = entry.tokens.customer(request.headers())?;
+    let query = request.uri().query().unwrap_or("");
+    let wait_ms = match query.strip_prefix("wait_ms=").map(str::parse) {
+        None => 0,
+        Some(Ok(wait_ms)) => WAIT_MS.min(wait_ms),
+        Some(Err(_)) => {
+            let message = "wait_ms is not a whole number";
+            return Err(Error::not_run(Code::BadRequest, message));
+        }
+    };
+    let until_ms = entry.timer.now_ms() + wait_ms;
+    loop {
+        let job = match entry.client.call(Call::Job { id: id.into() }, COMMIT).await? {
+            Answer::Job(Some(job)) if job.customer == customer => job,
+            Answer::Job(_) => return Err(Error::not_run(Code::NotFound, format!("no job {id}"))),
+            other => return Err(unexpected(&other)),
+        };
+        let is_over = job.phase.is_final() || entry.timer.now_ms() >= until_ms;
+        if is_over || entry.is_draining() {
+            return Ok(*job);
+        }
+        const RECHECK: Duration = Duration::from_millis(100);
+        entry.timer.sleep(RECHECK).await;
+    }
+}
+
+async fn cancel_many(entry: &Entry, request: Request) -> Result<Cancelled> {
+    let (head, body) = request.into_parts();
+    let bytes = entry.read(body, entry.settings.limits.body_bytes).await?;
+    let batch: Cancel = shared::parse(&bytes)?;
+    if batch.ids.len() > BATCH {
+        let message = format!("more than {BATCH} jobs in one cancel");
+        return Err(Error::not_run(Code::BadRequest, message));
+    }
+    cancel(entry, &head.headers, batch.ids).await
+}
+
+async fn cancel(entry: &Entry, headers: &HeaderMap, ids: Vec<String>) -> Result<Cancelled> {
+    let customer = entry.tokens.customer(headers)?;
+    let command = Command::Job(job::Command::Cancel { customer, ids });
+    match entry.client.propose(command, COMMIT).await? {
+        Reply::Jobs(cancelled) => Ok(Cancelled { cancelled }),
+        other => Err(unexpected(&other)),
+    }
+}
+
+fn unexpected(answer: &impl std::fmt::Debug) -> Error {
+    Error::may_have_run(Code::Internal, format!("unexpected answer {answer:?}"))
+}
--- /dev/null
+++ b/src/entry/health.rs
@@ -0,0 +1,35 @@
+//! Listener for health checks and metrics.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use volo_http::response::Response;
+use volo_http::server::route::{Router, get};
+
+use super::{Entry, http as shared};
+use crate::telemetry::Metrics;
+use crate::verdict::Verdict;
+
+/// Routes of the health listener.
+pub(super) fn router(entry: &Arc<Entry>) -> Router {
+    let entry = entry.clone();
+    let ready = move || {
+        let entry = entry.clone();
+        async move { ready(&entry) }
+    };
+    Router::new()
+        .route("/livez", get(async || text(StatusCode::OK, "live\n".into())))
+        .route("/readyz", get(ready))
+        .route("/metrics", get(async || text(StatusCode::OK, Metrics::global().scrape())))
+}
+
+fn ready(entry: &Entry) -> Response {
+    if entry.is_ready() {
+        return text(StatusCode::OK, "ready\n".into());
+    }
+    text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into())
+}
+
+fn text(status: StatusCode, body: Vec<u8>) -> Response {
+    shared::answer(status, Verdict::Ran, Some("text/plain"), body.into())
+}
--- /dev/null
+++ b/src/entry/http.rs
@@ -0,0 +1,108 @@
+//! What the listeners share: bounded bodies, typed answers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use crate::error::{Code, Error, Result};
+use crate::verdict::{self, Verdict};
+
+/// Longest body of an operator's document, in bytes.
+pub const DOCUMENT_BYTES: usize = 4 << 20;
+
+/// Reads a whole body, bounded in size and time.
+///
+/// # Errors
+/// `too_large` or `bad_request`, both `not_run`.
+pub async fn read(body: Body, limit: usize, within: Duration) -> Result<Bytes> {
+    let collected = tokio::time::timeout(within, Limited::new(body, limit).collect()).await;
+    match collected {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(Error::not_run(Code::TooLarge, format!("the body is longer than {limit} bytes")))
+        }
+        Ok(Err(e)) => Err(Error::not_run(Code::BadRequest, format!("the body broke off: {e}"))),
+        Err(_) => Err(Error::not_run(Code::BadRequest, "the body did not arrive in time")),
+    }
+}
+
+/// Parses a JSON body.
+///
+/// # Errors
+/// `bad_request`, `not_run`.
+pub fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    serde_json::from_slice(bytes).map_err(|e| Error::not_run(Code::BadRequest, e.to_string()))
+}
+
+/// Value of a header as text.
+///
+/// # Errors
+/// `bad_request` where it is not visible ASCII.
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let text = value.to_str();
+    let bad = |_| Error::not_run(Code::BadRequest, format!("header {name} is not visible ASCII"));
+    text.map(Some).map_err(bad)
+}
+
+/// Value of a header as a whole number.
+///
+/// # Errors
+/// `bad_request` where it is none.
+pub fn number(headers: &HeaderMap, name: &str) -> Result<Option<u64>> {
+    let Some(text) = text(headers, name)? else { return Ok(None) };
+    let bad = |_| Error::not_run(Code::BadRequest, format!("header {name} is not a whole number"));
+    text.trim_matches('"').parse().map(Some).map_err(bad)
+}
+
+/// A JSON answer with a verdict.
+pub fn json<T: Serialize>(status: StatusCode, verdict: Verdict, value: &T) -> Response {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    answer(status, verdict, Some("application/json"), bytes.into())
+}
+
+/// An answer with a verdict.
+pub fn answer(
+    status: StatusCode,
+    verdict: Verdict,
+    content_type: Option<&str>,
+    body: Bytes,
+) -> Response {
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    let verdict = verdict.to_string();
+    headers.insert(verdict::HEADER, HeaderValue::from_str(&verdict).expect("a verdict is ASCII"));
+    if let Some(value) = content_type.and_then(|text| HeaderValue::from_str(text).ok()) {
+        headers.insert(header::CONTENT_TYPE, value);
+    }
+    response
+}
+
+/// The typed answer for an error.
+pub fn refuse(error: &Error) -> Response {
+    let mut response = json(error.code.status(), error.verdict, error);
+    if let Some(after_ms) = error.retry_after_ms {
+        let seconds = HeaderValue::from(after_ms.div_ceil(1_000));
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    if error.code == Code::Stopping {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// Turns a handler's result into an answer: 200 with JSON, or the typed error.
+pub fn respond<T: Serialize>(result: Result<T>) -> Response {
+    match result {
+        Ok(value) => json(StatusCode::OK, Verdict::Ran, &value),
+        Err(error) => refuse(&error),
+    }
+}
--- /dev/null
+++ b/src/entry/operator.rs
@@ -0,0 +1,283 @@
+//! Listener for operators: configuration, status, members, drains.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use volo_http::request::Request;
+use volo_http::server::param::PathParams;
+use volo_http::server::route::{Router, delete, get, post};
+
+use super::token::Role;
+use super::{Entry, http as shared};
+use crate::control::status;
+use crate::error::{Code, Error, Result};
+use crate::mesh::call::{Answer, Call};
+use crate::mesh::frame::Notice;
+use crate::replica::member::{Change, Id};
+use crate::routing::upstream;
+use crate::state::document::{Document, Fault};
+use crate::state::{Command, Reply, config, worker};
+
+/// Longest wait for a change to be committed.
+const COMMIT: Duration = Duration::from_secs(5);
+/// Longest wait for a change of the membership.
+const MEMBERSHIP: Duration = Duration::from_secs(20);
+/// Longest wait until a configuration is in force, in milliseconds.
+const IN_FORCE_MS: u64 = 12_000;
+
+/// The configuration and its version.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Config {
+    /// Version.
+    pub version: u64,
+    /// Document.
+    pub document: Document,
+}
+
+/// Outcome of a configuration change.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Configured {
+    /// Version that the change made.
+    pub version: u64,
+    /// `in_force` at every entry, or only `accepted` so far.
+    pub state: String,
+}
+
+/// Faults of a document.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Checked {
+    /// Faults; empty where the document may be applied.
+    pub faults: Vec<Fault>,
+}
+
+/// Name of a daemon to add as a member.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Named {
+    /// Name.
+    pub name: String,
+}
+
+/// Whether to drain.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Drain {
+    /// False ends a drain.
+    pub draining: bool,
+}
+
+/// A text for a person.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Text {
+    /// The text.
+    pub text: String,
+}
+
+/// Routes of the operators' listener.
+pub(super) fn router(entry: &Arc<Entry>) -> Router {
+    let handlers = Handlers(entry.clone());
+    let (h1, h2, h3, h4, h5) =
+        (handlers.clone(), handlers.clone(), handlers.clone(), handlers.clone(), handlers.clone());
+    let (h6, h7, h8, h9, h10) =
+        (handlers.clone(), handlers.clone(), handlers.clone(), handlers.clone(), handlers.clone());
+    let h11 = handlers;
+    Router::new()
+        .route(
+            "/v1/config",
+            get(move |r: Request| async move { shared::respond(h1.config(r).await) })
+                .put(move |r: Request| async move { shared::respond(h2.configure(r).await) }),
+        )
+        .route(
+            "/v1/config/check",
+            post(move |r: Request| async move { shared::respond(h3.check(r).await) }),
+        )
+        .route(
+            "/v1/status",
+            get(move |r: Request| async move { shared::respond(h4.status(r).await) }),
+        )
+        .route(
+            "/v1/workers",
+            get(move |r: Request| async move { shared::respond(h5.workers(r).await) }),
+        )
+        .route(
+            "/v1/upstreams",
+            get(move |r: Request| async move { shared::respond(h6.upstreams(&r)) }),
+        )
+        .route(
+            "/v1/members",
+            get(move |r: Request| async move {
+                shared::respond(h7.status(r).await.map(|cluster| cluster.members))
+            })
+            .post(move |r: Request| async move { shared::respond(h8.add_member(r).await) }),
+        )
+        .route(
+            "/v1/members/{id}",
+            delete(move |PathParams(id): PathParams<String>, r: Request| async move {
+                shared::respond(h9.remove_member(&id, r).await)
+            }),
+        )
+        .route(
+            "/v1/workers/{id}/drain",
+            post(move |PathParams(id): PathParams<String>, r: Request| async move {
+                shared::respond(h10.drain_worker(id, r).await)
+            }),
+        )
+        .route(
+            "/v1/upstreams/{id}/drain",
+            post({
+                let handlers = h11.clone();
+                move |PathParams(id): PathParams<String>, r: Request| async move {
+                    shared::respond(handlers.drain_upstream(&id, &r))
+                }
+            }),
+        )
+        .route(
+            "/v1/jobs/{id}/explain",
+            get(move |PathParams(id): PathParams<String>, r: Request| async move {
+                shared::respond(h11.explain(id, r).await)
+            }),
+        )
+}
+
+#[derive(Clone)]
+struct Handlers(Arc<Entry>);
+
+impl Handlers {
+    fn check_token(&self, request: &Request) -> Result<()> {
+        self.0.tokens.check(request.headers(), &Role::Operator)
+    }
+
+    async fn call(&self, call: Call) -> Result<Answer> {
+        self.0.client.call(call, COMMIT).await
+    }
+
+    async fn config(&self, request: Request) -> Result<Config> {
+        self.check_token(&request)?;
+        match self.call(Call::Config).await? {
+            Answer::Config { version, document } => Ok(Config { version, document: *document }),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    async fn configure(&self, request: Request) -> Result<Configured> {
+        self.check_token(&request)?;
+        let (head, body) = request.into_parts();
+        let Some(expected) = shared::number(&head.headers, "if-match")? else {
+            let message = "If-Match must name the version that the change is based on";
+            return Err(Error::not_run(Code::BadRequest, message));
+        };
+        let request_id = shared::text(&head.headers, "eelgrassvalve-request-id")?;
+        let request_id = request_id.filter(|id| (1..=128).contains(&id.len()));
+        let Some(request_id) = request_id.map(str::to_string) else {
+            let message = "Eelgrassvalve-Request-Id must be 1 to 128 characters long";
+            return Err(Error::not_run(Code::BadRequest, message));
+        };
+        let bytes = self.0.read(body, shared::DOCUMENT_BYTES).await?;
+        let document: Document = shared::parse(&bytes)?;
+        let faults = self.faults(&document).await?;
+        if !faults.is_empty() {
+            let listed: Vec<String> = faults.iter().map(Fault::to_string).collect();
+            return Err(Error::not_run(Code::Unsatisfiable, listed.join("; ")));
+        }
+        let change = config::Change { request_id, expected, document };
+        let command = Command::Configure(change);
+        let version = match self.0.client.propose(command, COMMIT).await? {
+            Reply::Configured(version) => version,
+            other => return Err(unexpected(&other)),
+        };
+        let call = Call::AwaitInForce { version, within_ms: IN_FORCE_MS };
+        let within = Duration::from_millis(IN_FORCE_MS + 1_000);
+        let in_force = matches!(self.0.client.call(call, within).await, Ok(Answer::InForce(true)));
+        let state = if in_force { "in_force" } else { "accepted" };
+        Ok(Configured { version, state: state.into() })
+    }
+
+    async fn check(&self, request: Request) -> Result<Checked> {
+        self.check_token(&request)?;
+        let bytes = self.0.read(request.into_parts().1, shared::DOCUMENT_BYTES).await?;
+        let document: Document = shared::parse(&bytes)?;
+        Ok(Checked { faults: self.faults(&document).await? })
+    }
+
+    async fn faults(&self, document: &Document) -> Result<Vec<Fault>> {
+        match self.call(Call::Check(Box::new(document.clone()))).await? {
+            Answer::Faults(faults) => Ok(faults),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    async fn status(&self, request: Request) -> Result<status::Cluster> {
+        self.check_token(&request)?;
+        match self.call(Call::Status).await? {
+            Answer::Status(cluster) => Ok(*cluster),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    async fn workers(&self, request: Request) -> Result<Vec<status::Worker>> {
+        self.check_token(&request)?;
+        match self.call(Call::Workers).await? {
+            Answer::Workers(workers) => Ok(workers),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    fn upstreams(&self, request: &Request) -> Result<Vec<upstream::Row>> {
+        self.check_token(request)?;
+        let now_ms = self.0.timer.now_ms();
+        Ok(self.0.router.upstreams.lock().rows(now_ms))
+    }
+
+    async fn add_member(&self, request: Request) -> Result<Text> {
+        self.check_token(&request)?;
+        let bytes = self.0.read(request.into_parts().1, shared::DOCUMENT_BYTES).await?;
+        let Named { name } = shared::parse(&bytes)?;
+        let text = format!("{name} is a voter");
+        self.0.client.call(Call::AddMember { name }, MEMBERSHIP).await?;
+        Ok(Text { text })
+    }
+
+    async fn remove_member(&self, id: &str, request: Request) -> Result<Text> {
+        self.check_token(&request)?;
+        let Some(member) = Id::parse(id) else {
+            let message = format!("`{id}` is not the identity of a member");
+            return Err(Error::not_run(Code::BadRequest, message));
+        };
+        let change = Change::Remove { id: member };
+        self.0.client.call(Call::Change(change), MEMBERSHIP).await?;
+        Ok(Text { text: format!("{id} is removed") })
+    }
+
+    async fn drain_worker(&self, worker: String, request: Request) -> Result<Text> {
+        self.check_token(&request)?;
+        let bytes = self.0.read(request.into_parts().1, shared::DOCUMENT_BYTES).await?;
+        let Drain { draining } = shared::parse(&bytes)?;
+        let text = format!("{worker}: draining = {draining}");
+        let command = Command::Worker(worker::Command::Drain { worker, draining });
+        self.0.client.propose(command, COMMIT).await?;
+        Ok(Text { text })
+    }
+
+    fn drain_upstream(&self, id: &str, request: &Request) -> Result<Text> {
+        self.check_token(request)?;
+        let drained = self.0.router.upstreams.lock().drain(id);
+        let Some(delta) = drained else {
+            return Err(Error::not_run(Code::NotFound, format!("no upstream {id}")));
+        };
+        self.0.mesh.broadcast(&Notice::Upstreams(vec![delta]));
+        Ok(Text { text: format!("{id} is leaving") })
+    }
+
+    async fn explain(&self, id: String, request: Request) -> Result<Text> {
+        self.check_token(&request)?;
+        match self.call(Call::Explain { id }).await? {
+            Answer::Text(text) => Ok(Text { text }),
+            other => Err(unexpected(&other)),
+        }
+    }
+}
+
+fn unexpected(answer: &impl std::fmt::Debug) -> Error {
+    Error::may_have_run(Code::Internal, format!("unexpected answer {answer:?}"))
+}
--- /dev/null
+++ b/src/entry/platform.rs
@@ -0,0 +1,157 @@
+//! Listener for the platform: upstreams announce themselves, workers poll.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use volo_http::request::Request;
+use volo_http::server::param::PathParams;
+use volo_http::server::route::{Router, post};
+
+use super::token::Role;
+use super::{Entry, http as shared};
+use crate::error::{Code, Error, Result};
+use crate::mesh::call::{Answer, Call};
+use crate::mesh::frame::Notice;
+use crate::placement::order::{Order, revision};
+use crate::placement::report::Report;
+use crate::routing::upstream::{Announce, Delta};
+use crate::state::document::is_name;
+
+/// Longest body of an announcement or poll, in bytes.
+const BODY_BYTES: usize = 1 << 20;
+/// Milliseconds between announcements of an upstream.
+const ANNOUNCE_MS: u64 = 1_000;
+/// Longest time for which a poll is held, in milliseconds.
+const HOLD_MS: u64 = 1_000;
+/// Longest wait for the leader's orders.
+const REPORT: Duration = Duration::from_millis(1_000);
+
+/// Answer to an announcement.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Announced {
+    /// Milliseconds until the next announcement is due.
+    pub next_ms: u64,
+    /// Platform listeners of all entries, own one first.
+    pub entries: Vec<SocketAddr>,
+}
+
+/// A worker's poll.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Poll {
+    /// What the worker reports.
+    pub report: Report,
+    /// Revision of the orders that it has; 0 for none.
+    #[serde(default)]
+    pub seen: u32,
+}
+
+/// Answer to a poll.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Polled {
+    /// Milliseconds for which tasks may run, counted from when the poll was sent.
+    pub lease_ms: u64,
+    /// Milliseconds to wait before the next poll.
+    pub next_ms: u64,
+    /// Revision of the orders.
+    pub revision: u32,
+    /// All orders in force; a task without one is to be stopped.
+    pub orders: Vec<Order>,
+    /// Platform listeners of all entries, own one first.
+    pub entries: Vec<SocketAddr>,
+}
+
+/// Routes of the platform's listener.
+pub(super) fn router(entry: &Arc<Entry>) -> Router {
+    let (e1, e2) = (entry.clone(), entry.clone());
+    let announce = move |PathParams(id): PathParams<String>, request: Request| {
+        let entry = e1.clone();
+        async move { shared::respond(announce(&entry, &id, request).await) }
+    };
+    let poll = move |PathParams(id): PathParams<String>, request: Request| {
+        let entry = e2.clone();
+        async move { shared::respond(poll(&entry, id, request).await) }
+    };
+    Router::new()
+        .route("/v1/upstreams/{id}/announce", post(announce))
+        .route("/v1/workers/{id}/poll", post(poll))
+}
+
+fn check_name(what: &str, id: &str) -> Result<()> {
+    if is_name(id) {
+        return Ok(());
+    }
+    let message = format!("{what} `{id}` is not 1 to 64 of a-z, 0-9, - and _");
+    Err(Error::not_run(Code::BadRequest, message))
+}
+
+async fn announce(entry: &Entry, id: &str, request: Request) -> Result<Announced> {
+    let (head, body) = request.into_parts();
+    entry.tokens.check(&head.headers, &Role::Upstream)?;
+    check_name("upstream", id)?;
+    let bytes = entry.read(body, BODY_BYTES).await?;
+    let announce: Announce = shared::parse(&bytes)?;
+    let now_ms = entry.timer.now_ms();
+    if entry.router.upstreams.lock().hear(id, &announce, now_ms) {
+        let delta = Delta { id: id.into(), announce };
+        entry.mesh.broadcast(&Notice::Upstreams(vec![delta]));
+        entry.router.wake();
+    }
+    Ok(Announced { next_ms: ANNOUNCE_MS, entries: entry.platform_addresses() })
+}
+
+async fn poll(entry: &Entry, id: String, request: Request) -> Result<Polled> {
+    let (head, body) = request.into_parts();
+    entry.tokens.check(&head.headers, &Role::Worker)?;
+    check_name("worker", &id)?;
+    let bytes = entry.read(body, BODY_BYTES).await?;
+    let mut poll: Poll = shared::parse(&bytes)?;
+    if poll.report.shape.accelerators > 32 {
+        return Err(Error::not_run(Code::BadRequest, "more than 32 accelerators"));
+    }
+    poll.report.worker = id;
+    entry.check_lease()?;
+    let (mut orders, is_news) = entry.polls.hear(&poll.report, entry.timer.now_ms());
+    if is_news {
+        let call = Call::Report(poll.report.clone());
+        if let Ok(Answer::Orders(fresh)) = entry.client.call(call, REPORT).await {
+            entry.polls.put(&poll.report.worker, fresh);
+            entry.polls.reported(poll.report);
+        }
+    }
+    let changed = orders.wait_for(|orders| revision(orders) != poll.seen);
+    let hold = entry.timer.sleep(Duration::from_millis(HOLD_MS));
+    tokio::select! {
+        _ = changed => {}
+        () = hold => {}
+    }
+    let current = orders.borrow().clone();
+    // A lease may be granted only while the own one runs: that bounds the chain.
+    entry.check_lease()?;
+    Ok(Polled {
+        lease_ms: entry.settings.times.worker_lease_ms,
+        next_ms: 0,
+        revision: revision(&current),
+        orders: current,
+        entries: entry.platform_addresses(),
+    })
+}
+
+impl Entry {
+    fn platform_addresses(&self) -> Vec<SocketAddr> {
+        let mut addresses = vec![self.settings.listen.platform];
+        addresses.extend(self.settings.peers.iter().filter_map(|peer| peer.platform));
+        addresses
+    }
+
+    fn check_lease(&self) -> Result<()> {
+        let now_ms = self.timer.now_ms();
+        if self.standing.lock().holds_lease(now_ms) {
+            return Ok(());
+        }
+        let message = "this entry holds no lease from the control members";
+        Err(Error::not_run(Code::NoLease, message))
+    }
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,149 @@
+//! The one error shape of every interface: a verdict, a code and a message.
+
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use crate::verdict::Verdict;
+
+/// Result with the interface error.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Machine-readable reason of a refusal or failure.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Code {
+    /// The input could not be understood.
+    #[display("bad_request")]
+    BadRequest,
+    /// No valid bearer token.
+    #[display("unauthorized")]
+    Unauthorized,
+    /// The token does not permit this.
+    #[display("forbidden")]
+    Forbidden,
+    /// The named object does not exist.
+    #[display("not_found")]
+    NotFound,
+    /// The version or state has changed.
+    #[display("conflict")]
+    Conflict,
+    /// An idempotency key was reused with another payload.
+    #[display("key_reused")]
+    KeyReused,
+    /// The body is longer than the listener takes.
+    #[display("too_large")]
+    TooLarge,
+    /// A document or job that can't be satisfied.
+    #[display("unsatisfiable")]
+    Unsatisfiable,
+    /// A limit of the customer or of the system was reached.
+    #[display("over_limit")]
+    OverLimit,
+    /// The claim table is full.
+    #[display("claims_full")]
+    ClaimsFull,
+    /// The deadline passed or can't be met.
+    #[display("deadline")]
+    Deadline,
+    /// No upstream serves this kind now.
+    #[display("no_upstream")]
+    NoUpstream,
+    /// The upstream failed.
+    #[display("upstream_failed")]
+    UpstreamFailed,
+    /// No quorum of control members answers.
+    #[display("no_quorum")]
+    NoQuorum,
+    /// The asked member is not the leader.
+    #[display("not_leader")]
+    NotLeader,
+    /// The entry holds no lease.
+    #[display("no_lease")]
+    NoLease,
+    /// The daemon is stopping.
+    #[display("stopping")]
+    Stopping,
+    /// The key is too old to tell whether its request ran.
+    #[display("key_expired")]
+    KeyExpired,
+    /// The owner of the request died or is cut off.
+    #[display("owner_lost")]
+    OwnerLost,
+    /// A fault of the system itself.
+    #[display("internal")]
+    Internal,
+}
+
+impl Code {
+    /// HTTP status of the code.
+    pub fn status(self) -> http::StatusCode {
+        use http::StatusCode as S;
+        match self {
+            Self::BadRequest => S::BAD_REQUEST,
+            Self::Unauthorized => S::UNAUTHORIZED,
+            Self::Forbidden => S::FORBIDDEN,
+            Self::NotFound => S::NOT_FOUND,
+            Self::Conflict => S::CONFLICT,
+            Self::KeyReused | Self::Unsatisfiable => S::UNPROCESSABLE_ENTITY,
+            Self::TooLarge => S::PAYLOAD_TOO_LARGE,
+            Self::OverLimit => S::TOO_MANY_REQUESTS,
+            Self::Deadline => S::GATEWAY_TIMEOUT,
+            Self::UpstreamFailed | Self::OwnerLost => S::BAD_GATEWAY,
+            Self::KeyExpired => S::GONE,
+            Self::Internal => S::INTERNAL_SERVER_ERROR,
+            Self::ClaimsFull
+            | Self::NoUpstream
+            | Self::NoQuorum
+            | Self::NotLeader
+            | Self::NoLease
+            | Self::Stopping => S::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// A refusal or failure; also the JSON body of every error answer.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq, Serialize, Deserialize)]
+#[display("{code} ({verdict}): {message}")]
+pub struct Error {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// Reason.
+    pub code: Code,
+    /// Explanation for a person.
+    pub message: String,
+    /// Milliseconds after which a retry makes sense.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Error {
+    /// An error with the given verdict.
+    pub fn new(verdict: Verdict, code: Code, message: impl Into<String>) -> Self {
+        Self { verdict, code, message: message.into(), retry_after_ms: None }
+    }
+
+    /// An error of a request that did not run.
+    pub fn not_run(code: Code, message: impl Into<String>) -> Self {
+        Self::new(Verdict::NotRun, code, message)
+    }
+
+    /// An error of a request that may have run.
+    pub fn may_have_run(code: Code, message: impl Into<String>) -> Self {
+        Self::new(Verdict::MayHaveRun, code, message)
+    }
+
+    /// Adds the time after which a retry makes sense.
+    #[must_use]
+    pub fn retry_after(mut self, after: Duration) -> Self {
+        self.retry_after_ms = Some(after.as_millis() as u64);
+        self
+    }
+}
+
+impl miette::Diagnostic for Error {
+    fn code<'a>(&'a self) -> Option<Box<dyn std::fmt::Display + 'a>> {
+        Some(Box::new(self.code))
+    }
+}
--- /dev/null
+++ b/src/kernel/timer.rs
@@ -0,0 +1,101 @@
+//! Timer service: the one source of time that parts subscribe to.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use tokio::sync::watch;
+
+/// A clock that parts read and subscribe to.
+#[derive(Clone, Debug)]
+pub struct Timer {
+    clock: Clock,
+}
+
+#[derive(Clone, Debug)]
+enum Clock {
+    System(Instant),
+    Manual(watch::Receiver<u64>),
+}
+
+/// Moves a manual timer forward; for tests and replays.
+#[derive(Debug)]
+pub struct Hand(watch::Sender<u64>);
+
+impl Hand {
+    /// Advances the clock by whole milliseconds.
+    pub fn advance(&self, by: Duration) {
+        self.0.send_modify(|now| *now += by.as_millis() as u64);
+    }
+}
+
+impl Timer {
+    /// A timer on the monotonic system clock.
+    pub fn system() -> Self {
+        Self { clock: Clock::System(Instant::now()) }
+    }
+
+    /// A timer that moves only by its hand.
+    pub fn manual() -> (Self, Hand) {
+        let (sender, receiver) = watch::channel(0);
+        let clock = Clock::Manual(receiver);
+        (Self { clock }, Hand(sender))
+    }
+
+    /// Milliseconds since the timer was made; never goes back.
+    pub fn now_ms(&self) -> u64 {
+        match &self.clock {
+            Clock::System(start) => start.elapsed().as_millis() as u64,
+            Clock::Manual(now) => *now.borrow(),
+        }
+    }
+
+    /// Subscribes to ticks one `period` apart; a late subscriber skips missed ticks.
+    pub fn subscribe(&self, period: Duration) -> Subscription {
+        let period_ms = period.as_millis().max(1) as u64;
+        Subscription { timer: self.clone(), period_ms, next_ms: self.now_ms() + period_ms }
+    }
+
+    /// Waits until the clock shows at least `at_ms`.
+    pub async fn sleep_until(&self, at_ms: u64) {
+        match &self.clock {
+            Clock::System(start) => {
+                let at = *start + Duration::from_millis(at_ms);
+                tokio::time::sleep_until(at.into()).await;
+            }
+            Clock::Manual(now) => {
+                let mut now = now.clone();
+                // The hand was dropped: time stands still for ever.
+                if now.wait_for(|now| *now >= at_ms).await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+        }
+    }
+
+    /// Waits for a duration.
+    pub async fn sleep(&self, duration: Duration) {
+        self.sleep_until(self.now_ms() + duration.as_millis() as u64).await;
+    }
+}
+
+/// A stream of ticks.
+#[derive(Debug)]
+pub struct Subscription {
+    timer: Timer,
+    period_ms: u64,
+    next_ms: u64,
+}
+
+impl Subscription {
+    /// Waits for the next tick and returns its time in milliseconds.
+    pub async fn tick(&mut self) -> u64 {
+        self.timer.sleep_until(self.next_ms).await;
+        let now_ms = self.timer.now_ms();
+        self.next_ms = now_ms + self.period_ms;
+        now_ms
+    }
+}
+
+/// Wall-clock milliseconds since the Unix epoch, for records and key ages only.
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! eelgrassvalve: a scheduler for multi-accelerator jobs under customer guarantees.
+//!
+//! It stands between callers, upstreams and the platform's workers.
+
+pub mod client;
+pub mod cmd;
+pub mod control;
+pub mod daemon;
+pub mod entry;
+pub mod error;
+pub mod kernel;
+pub mod mesh;
+pub mod placement;
+pub mod replica;
+pub mod routing;
+pub mod settings;
+pub mod state;
+pub mod telemetry;
+pub mod verdict;
--- /dev/null
+++ b/src/replica/mod.rs
@@ -0,0 +1,558 @@
+//! Consensus, sans-I/O: a Raft-family replica whose time, disk and network are effects.
+//!
+//! Effects are carried out in order; a [`Effect::Send`] or [`Effect::Commit`] leaves only after
+//! every earlier persist effect is synced.
+
+mod append;
+mod election;
+pub mod log;
+pub mod member;
+mod read;
+mod snapshot;
+pub mod store;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+use log::Log;
+use member::{Id, Members};
+
+/// Result of asking a replica for something.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// Why a replica refuses a proposal or read.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// Another member leads, or none does.
+    #[display("not the leader")]
+    NotLeader,
+    /// A membership change is still in progress.
+    #[display("a membership change is in progress")]
+    Busy,
+    /// The membership change makes no sense or is unsafe.
+    #[display("the membership change is not possible")]
+    Impossible,
+}
+
+/// Intervals of a replica, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Between heartbeats of an idle leader.
+    pub heartbeat_ms: u64,
+    /// Least silence before a follower campaigns; also bounds the leader's lease.
+    pub election_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self { heartbeat_ms: 250, election_ms: 1_000 }
+    }
+}
+
+impl Timing {
+    /// How long a leader may trust a quorum's answer, with a tenth kept back for clock drift.
+    pub fn lease_ms(&self) -> u64 {
+        self.election_ms * 9 / 10
+    }
+}
+
+/// One entry of the log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Position, from 1.
+    pub index: u64,
+    /// Term of the leader that made it.
+    pub term: u64,
+    /// Content.
+    pub payload: Payload,
+}
+
+/// Content of a log entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Payload {
+    /// Marks the start of a leader's term.
+    Noop,
+    /// An encoded command of the state machine.
+    Command(Bytes),
+    /// A new membership, in effect from the moment it is appended.
+    Members(Members),
+}
+
+/// A byte string that encodes compactly.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Bytes(pub Vec<u8>);
+
+impl Serialize for Bytes {
+    fn serialize<S: serde::Serializer>(&self, to: S) -> std::result::Result<S::Ok, S::Error> {
+        to.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Bytes {
+    fn deserialize<D: serde::Deserializer<'de>>(from: D) -> std::result::Result<Self, D::Error> {
+        let value = ciborium::value::Value::deserialize(from)?;
+        let bytes = value.into_bytes();
+        bytes.map(Self).map_err(|_| serde::de::Error::custom("not a byte string"))
+    }
+}
+
+/// Term and vote, synced before any answer that depends on them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vote {
+    /// Current term.
+    pub term: u64,
+    /// Member voted for in this term.
+    pub candidate: Option<Id>,
+}
+
+/// State of the machine up to an index.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Last index it covers.
+    pub index: u64,
+    /// Term of that entry.
+    pub term: u64,
+    /// Membership at that index.
+    pub members: Members,
+    /// Encoded machine.
+    pub data: Arc<Bytes>,
+}
+
+/// A message between replicas.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// Sender's term (a pre-vote carries the term it would campaign in).
+    pub term: u64,
+    /// Content.
+    pub body: Body,
+}
+
+/// Content of a message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks for a vote.
+    Ask {
+        /// Whether this only probes if an election could be won.
+        pre: bool,
+        /// Whether the leader itself asked the candidate to campaign.
+        transfer: bool,
+        /// Candidate's last index.
+        last_index: u64,
+        /// Term of that entry.
+        last_term: u64,
+    },
+    /// Answers [`Body::Ask`].
+    Answer {
+        /// Echo of `pre`.
+        pre: bool,
+        /// Whether the vote is granted.
+        granted: bool,
+    },
+    /// Entries, or a heartbeat where there are none.
+    Append {
+        /// Index before the first entry.
+        prev_index: u64,
+        /// Term of that index.
+        prev_term: u64,
+        /// Entries, contiguous.
+        entries: Vec<Entry>,
+        /// Leader's commit index.
+        commit: u64,
+        /// Leader's clock at sending, echoed by the answer.
+        sent_ms: u64,
+    },
+    /// Answers [`Body::Append`] and [`Body::Chunk`].
+    Appended {
+        /// Last index known to match where `matches`, else a hint where to look next.
+        index: u64,
+        /// Whether the entries fitted.
+        matches: bool,
+        /// Echo of the leader's clock.
+        sent_ms: u64,
+    },
+    /// A piece of a snapshot.
+    Chunk {
+        /// Snapshot without its data.
+        head: Snapshot,
+        /// Offset of the piece in the data.
+        offset: u64,
+        /// The piece.
+        piece: Bytes,
+        /// Length of the whole data.
+        length: u64,
+        /// Leader's clock at sending, echoed by the answer.
+        sent_ms: u64,
+    },
+    /// Acknowledges a piece of an unfinished snapshot.
+    Chunked {
+        /// Index of the snapshot.
+        index: u64,
+        /// Bytes received so far, in order.
+        offset: u64,
+        /// Echo of the leader's clock.
+        sent_ms: u64,
+    },
+    /// Asks the receiver to campaign at once.
+    Campaign,
+}
+
+/// Something that happened to a replica.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time passed.
+    Tick,
+    /// A message arrived.
+    Message {
+        /// Sender.
+        from: Id,
+        /// Message.
+        message: Message,
+    },
+    /// A local client proposes a command.
+    Propose {
+        /// Names the proposal in later effects.
+        token: u64,
+        /// Encoded command.
+        command: Vec<u8>,
+    },
+    /// An operator changes the membership.
+    Change {
+        /// Names the proposal in later effects.
+        token: u64,
+        /// Change.
+        change: member::Change,
+    },
+    /// A local client wants to read current state.
+    Read {
+        /// Names the read in later effects.
+        token: u64,
+    },
+    /// Persist effects up to this entry are synced.
+    Synced {
+        /// Last synced index.
+        index: u64,
+        /// Term of that entry.
+        term: u64,
+    },
+    /// The machine was encoded up to an applied index: the log may be cut there.
+    Compact {
+        /// Applied index.
+        index: u64,
+        /// Encoded machine.
+        data: Vec<u8>,
+    },
+    /// Leadership is to move to the best follower.
+    Transfer,
+}
+
+/// Something the replica wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Persist term and vote.
+    Vote(Vote),
+    /// Persist entries, replacing any from the first one's index on.
+    Append(Vec<Entry>),
+    /// Persist a snapshot; log entries up to its index may go, and all where `reset`.
+    Snapshot {
+        /// The snapshot.
+        snapshot: Snapshot,
+        /// Whether the log has nothing to keep and the machine must be replaced.
+        reset: bool,
+    },
+    /// Send a message.
+    Send {
+        /// Receiver.
+        to: Id,
+        /// Message.
+        message: Message,
+    },
+    /// Apply entries to the machine.
+    Commit(Vec<Entry>),
+    /// A proposal was put at this index and term; it is decided once that index commits.
+    Proposed {
+        /// Proposal.
+        token: u64,
+        /// Index.
+        index: u64,
+        /// Term.
+        term: u64,
+    },
+    /// A proposal or read can't be served here; nothing of it was written.
+    Refused {
+        /// Proposal or read.
+        token: u64,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// The state applied up to this index is current as of the read.
+    Readable {
+        /// Read.
+        token: u64,
+        /// Index that must be applied first.
+        index: u64,
+    },
+    /// Role or leader changed.
+    Role {
+        /// Whether this replica leads.
+        leads: bool,
+        /// Known leader.
+        leader: Option<Id>,
+        /// Term.
+        term: u64,
+    },
+}
+
+#[derive(Debug)]
+enum Role {
+    Follower,
+    Candidate { pre: bool, transfer: bool, votes: BTreeSet<Id> },
+    Leader(Leader),
+}
+
+#[derive(Debug)]
+struct Leader {
+    progress: BTreeMap<Id, append::Progress>,
+    reads: Vec<read::Pending>,
+    heartbeat_at_ms: u64,
+    since_ms: u64,
+    // Index of the first entry of this term; reads and membership changes wait for it.
+    first_index: u64,
+    transfer: Option<(Id, u64)>,
+}
+
+/// What a replica restarts from.
+#[derive(Clone, Debug, Default)]
+pub struct Saved {
+    /// Term and vote.
+    pub vote: Vote,
+    /// Latest snapshot.
+    pub snapshot: Snapshot,
+    /// Entries after it.
+    pub entries: Vec<Entry>,
+}
+
+/// One member of the group.
+#[derive(Debug)]
+pub struct Replica {
+    id: Id,
+    timing: Timing,
+    rng: SmallRng,
+    vote: Vote,
+    log: Log,
+    members: Members,
+    commit: u64,
+    applied: u64,
+    synced: u64,
+    role: Role,
+    leader: Option<Id>,
+    // When a leader was last heard; a restart counts, since it forgets what it heard.
+    heard_ms: u64,
+    election_at_ms: u64,
+    now_ms: u64,
+    incoming: Option<snapshot::Incoming>,
+    effects: Vec<Effect>,
+}
+
+impl Replica {
+    /// A replica that continues from what was saved.
+    pub fn new(id: Id, timing: Timing, saved: Saved, seed: u64, now_ms: u64) -> Self {
+        let log = Log::new(saved.snapshot, saved.entries);
+        let mut replica = Self {
+            id,
+            timing,
+            rng: SmallRng::seed_from_u64(seed),
+            vote: saved.vote,
+            members: log.members(),
+            commit: log.snapshot().index,
+            applied: log.snapshot().index,
+            synced: log.last_index(),
+            log,
+            role: Role::Follower,
+            leader: None,
+            heard_ms: now_ms,
+            election_at_ms: 0,
+            now_ms,
+            incoming: None,
+            effects: Vec::new(),
+        };
+        replica.reset_election();
+        if replica.members.is_only_voter(id) {
+            replica.election_at_ms = now_ms;
+        }
+        replica
+    }
+
+    /// Takes one input at the given time and returns what is to be done.
+    pub fn step(&mut self, input: Input, now_ms: u64) -> Vec<Effect> {
+        self.now_ms = self.now_ms.max(now_ms);
+        match input {
+            Input::Tick => self.tick(),
+            Input::Message { from, message } => self.receive(from, message),
+            Input::Propose { token, command } => {
+                self.propose(token, Payload::Command(Bytes(command)));
+            }
+            Input::Change { token, change } => self.change_members(token, &change),
+            Input::Read { token } => self.read(token),
+            Input::Synced { index, term } => self.note_synced(index, term),
+            Input::Compact { index, data } => self.compact(index, data),
+            Input::Transfer => self.transfer(),
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Own identity.
+    pub fn id(&self) -> Id {
+        self.id
+    }
+
+    /// Current term.
+    pub fn term(&self) -> u64 {
+        self.vote.term
+    }
+
+    /// Whether this replica leads.
+    pub fn leads(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Known leader.
+    pub fn leader(&self) -> Option<Id> {
+        self.leader
+    }
+
+    /// Membership in effect.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Highest committed index.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Matched index and age of the last answer in milliseconds, for each follower of a leader.
+    pub fn followers(&self) -> Vec<(Id, u64, u64)> {
+        let Role::Leader(leader) = &self.role else { return Vec::new() };
+        let now_ms = self.now_ms;
+        let row =
+            |(id, p): (&Id, &append::Progress)| (*id, p.matched, now_ms.saturating_sub(p.heard_ms));
+        leader.progress.iter().map(row).collect()
+    }
+
+    fn tick(&mut self) {
+        if let Role::Leader(_) = self.role {
+            self.tick_leader();
+            return;
+        }
+        if self.now_ms >= self.election_at_ms && self.members.is_voter(self.id) {
+            self.campaign(true, false);
+        }
+    }
+
+    fn receive(&mut self, from: Id, message: Message) {
+        if let Body::Ask { pre, transfer, last_index, last_term } = message.body {
+            self.answer_ask(
+                from,
+                message.term,
+                election::Ask { pre, transfer, last_index, last_term },
+            );
+            return;
+        }
+        let pre_granted = matches!(message.body, Body::Answer { pre: true, granted: true });
+        if message.term > self.vote.term && !pre_granted {
+            self.follow(message.term, None);
+        }
+        if message.term < self.vote.term {
+            self.reject_stale(from, &message.body);
+            return;
+        }
+        match message.body {
+            Body::Ask { .. } => {}
+            Body::Answer { pre, granted } => self.count_vote(from, pre, granted),
+            Body::Append { prev_index, prev_term, entries, commit, sent_ms } => {
+                self.hear_leader(from);
+                self.append(
+                    from,
+                    append::Batch { prev_index, prev_term, entries, commit, sent_ms },
+                );
+            }
+            Body::Appended { index, matches, sent_ms } => {
+                self.note_appended(from, index, matches, sent_ms);
+            }
+            Body::Chunk { head, offset, piece, length, sent_ms } => {
+                self.hear_leader(from);
+                self.take_chunk(from, snapshot::Chunk { head, offset, piece, length, sent_ms });
+            }
+            Body::Chunked { index, offset, sent_ms } => {
+                self.note_chunked(from, index, offset, sent_ms);
+            }
+            Body::Campaign => {
+                if self.members.is_voter(self.id) {
+                    self.campaign(false, true);
+                }
+            }
+        }
+    }
+
+    // An old leader learns the newer term from the answer and steps down.
+    fn reject_stale(&mut self, from: Id, body: &Body) {
+        let sent_ms = match body {
+            Body::Append { sent_ms, .. } | Body::Chunk { sent_ms, .. } => *sent_ms,
+            _ => return,
+        };
+        self.send(from, Body::Appended { index: 0, matches: false, sent_ms });
+    }
+
+    fn hear_leader(&mut self, from: Id) {
+        self.heard_ms = self.now_ms;
+        self.reset_election();
+        if !matches!(self.role, Role::Follower) {
+            self.role = Role::Follower;
+        }
+        if self.leader != Some(from) {
+            self.leader = Some(from);
+            self.note_role();
+        }
+    }
+
+    fn follow(&mut self, term: u64, leader: Option<Id>) {
+        let led = self.leads();
+        self.role = Role::Follower;
+        if term > self.vote.term {
+            self.vote = Vote { term, candidate: None };
+            self.effects.push(Effect::Vote(self.vote));
+        }
+        let changed = led || self.leader != leader;
+        self.leader = leader;
+        self.reset_election();
+        if changed {
+            self.note_role();
+        }
+    }
+
+    fn note_role(&mut self) {
+        let effect =
+            Effect::Role { leads: self.leads(), leader: self.leader, term: self.vote.term };
+        self.effects.push(effect);
+    }
+
+    fn reset_election(&mut self) {
+        let spread = self.rng.random_range(0..self.timing.election_ms);
+        self.election_at_ms = self.now_ms + self.timing.election_ms + spread;
+    }
+
+    fn send(&mut self, to: Id, body: Body) {
+        let message = Message { term: self.vote.term, body };
+        self.effects.push(Effect::Send { to, message });
+    }
+}
--- /dev/null
+++ b/src/replica/snapshot.rs
@@ -0,0 +1,113 @@
+//! Snapshots: cutting the log, and sending state to a follower in pieces.
+
+use std::sync::Arc;
+
+use super::member::Id;
+use super::{Body, Bytes, Effect, Replica, Role, Snapshot};
+
+/// Bytes of one piece.
+const PIECE_BYTES: usize = 256 << 10;
+
+/// A snapshot on its way in.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    index: u64,
+    term: u64,
+    data: Vec<u8>,
+}
+
+/// A piece as received.
+#[derive(Debug)]
+pub(super) struct Chunk {
+    pub(super) head: Snapshot,
+    pub(super) offset: u64,
+    pub(super) piece: Bytes,
+    pub(super) length: u64,
+    pub(super) sent_ms: u64,
+}
+
+impl Replica {
+    pub(super) fn compact(&mut self, index: u64, data: Vec<u8>) {
+        if index <= self.log.snapshot().index || index > self.applied {
+            return;
+        }
+        let Some(term) = self.log.term(index) else { return };
+        let snapshot = Snapshot {
+            index,
+            term,
+            members: self.log.members_at(index),
+            data: Arc::new(Bytes(data)),
+        };
+        self.log.compact(snapshot.clone());
+        self.effects.push(Effect::Snapshot { snapshot, reset: false });
+    }
+
+    pub(super) fn send_chunk(&mut self, to: Id, heartbeat: bool) {
+        let now_ms = self.now_ms;
+        let snapshot = self.log.snapshot();
+        let data = snapshot.data.clone();
+        let head = Snapshot { data: Arc::default(), ..snapshot.clone() };
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(progress) = leader.progress.get_mut(&to) else { return };
+        if progress.inflight > 0 && !heartbeat {
+            return;
+        }
+        let offset = progress.chunk.unwrap_or(0).min(data.0.len() as u64);
+        progress.chunk = Some(offset);
+        progress.inflight = 1;
+        progress.sent_ms = now_ms;
+        let start = offset as usize;
+        let end = data.0.len().min(start + PIECE_BYTES);
+        let piece = Bytes(data.0[start..end].to_vec());
+        let length = data.0.len() as u64;
+        self.send(to, Body::Chunk { head, offset, piece, length, sent_ms: now_ms });
+    }
+
+    pub(super) fn take_chunk(&mut self, from: Id, chunk: Chunk) {
+        let head = chunk.head;
+        let sent_ms = chunk.sent_ms;
+        if head.index <= self.commit {
+            self.send(from, Body::Appended { index: head.index, matches: true, sent_ms });
+            return;
+        }
+        let fits = |held: &Incoming| held.index == head.index && held.term == head.term;
+        let mut incoming = match self.incoming.take() {
+            Some(held) if fits(&held) => held,
+            _ => Incoming { index: head.index, term: head.term, data: Vec::new() },
+        };
+        if incoming.data.len() as u64 == chunk.offset {
+            incoming.data.extend_from_slice(&chunk.piece.0);
+        }
+        let offset = incoming.data.len() as u64;
+        if offset < chunk.length {
+            self.incoming = Some(incoming);
+            self.send(from, Body::Chunked { index: head.index, offset, sent_ms });
+            return;
+        }
+        self.install(Snapshot { data: Arc::new(Bytes(incoming.data)), ..head });
+        let index = self.log.snapshot().index;
+        self.send(from, Body::Appended { index, matches: true, sent_ms });
+    }
+
+    fn install(&mut self, snapshot: Snapshot) {
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.synced = snapshot.index;
+        self.log.reset(snapshot.clone());
+        self.effects.push(Effect::Snapshot { snapshot, reset: true });
+        self.refresh_members();
+    }
+
+    pub(super) fn note_chunked(&mut self, from: Id, index: u64, offset: u64, sent_ms: u64) {
+        let now_ms = self.now_ms;
+        let current = self.log.snapshot().index;
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(progress) = leader.progress.get_mut(&from) else { return };
+        progress.heard_ms = now_ms;
+        progress.echo_ms = progress.echo_ms.max(sent_ms);
+        progress.inflight = 0;
+        progress.chunk = Some(if index == current { offset } else { 0 });
+        self.answer_reads();
+        self.send_append(from, false);
+    }
+}
