Mesh: give up a link whose other end is silent

Cause: a link over a path that swallows packets stayed up until TCP's own retransmission limit, so calls waited for their time limit instead of finding another daemon, and the link was not dialled anew. Ruled out: TCP keepalive, which needs another crate and counts in seconds only after the first idle interval; frames of our own, since WebSocket pings are answered by the library. Change: a ping after 2 s without a frame, and the link is closed after 7 s without anything from the other end. The cut itself is not yet covered by a test.

--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -22,6 +23,10 @@
 const HANDSHAKE: Duration = Duration::from_secs(3);
 /// Longest time that one frame may take to be written.
 const WRITE: Duration = Duration::from_secs(5);
+/// Silence of the own end after which a ping is sent.
+const PING: Duration = Duration::from_secs(2);
+/// Silence of the other end after which the link is given up, so that it is dialled anew.
+const SILENCE: Duration = Duration::from_secs(7);
 /// Wait before a lost link is dialled again.
 const REDIAL: Duration = Duration::from_millis(200);
 
@@ -103,10 +108,14 @@
 }
 
 async fn write(mut sink: SplitSink<Socket, Message>, mut frames: mpsc::Receiver<Frame>) {
-    while let Some(frame) = frames.recv().await {
-        let bytes = encode(&frame);
-        Metrics::global().count_mesh_bytes(bytes.len() as u64);
-        let sent = timeout(WRITE, sink.send(Message::binary(bytes))).await;
+    loop {
+        let message = match timeout(PING, frames.recv()).await {
+            Ok(Some(frame)) => Message::binary(encode(&frame)),
+            Ok(None) => return,
+            Err(_) => Message::Ping(Bytes::new()),
+        };
+        Metrics::global().count_mesh_bytes(message.len() as u64);
+        let sent = timeout(WRITE, sink.send(message)).await;
         if !matches!(sent, Ok(Ok(()))) {
             return;
         }
@@ -119,7 +128,7 @@
     mut stream: SplitStream<Socket>,
     receiver: Arc<R>,
 ) {
-    while let Some(Ok(message)) = stream.next().await {
+    while let Ok(Some(Ok(message))) = timeout(SILENCE, stream.next()).await {
         let Message::Binary(bytes) = message else { continue };
         let frame = match decode::<Frame>(&bytes) {
             Ok(frame) => frame,
