Kernel: tests of lock order, timer service and plug-in registry

Cause: the debug assertion of the lock order, the manual clock and the registry had no test of their own. Ruled out: testing them only through the daemon, where a wrong order would show as a rare panic. Conclusion: an out-of-order lock panics in debug builds and leaves no rank marked as held.

--- /dev/null
+++ b/tests/kernel.rs
@@ -0,0 +1,58 @@
+//! Kernel: lock order, timer service and plug-in registry.
+
+use std::time::Duration;
+
+use eelgrassvalve::kernel::lock::{Rank, Table};
+use eelgrassvalve::kernel::plugin;
+use eelgrassvalve::kernel::timer::Timer;
+use rstest::rstest;
+
+#[rstest]
+#[case::in_order(Rank::Machine, Rank::Links, true)]
+#[case::out_of_order(Rank::Links, Rank::Machine, false)]
+#[case::same_rank(Rank::Queue, Rank::Queue, false)]
+fn lock_order_is_asserted(#[case] first: Rank, #[case] second: Rank, #[case] allowed: bool) {
+    let locked = std::panic::catch_unwind(|| {
+        let (outer, inner) = (Table::new(first, 1), Table::new(second, 2));
+        let held = outer.lock();
+        *held + *inner.lock()
+    });
+    assert_eq!(locked.is_ok(), allowed || !cfg!(debug_assertions));
+    // The failed attempt leaves nothing marked as held.
+    assert_eq!(*Table::new(Rank::Machine, 3).lock(), 3);
+}
+
+#[test]
+fn guards_may_be_dropped_in_any_order() {
+    let (first, second) = (Table::new(Rank::Machine, 1), Table::new(Rank::Workers, 2));
+    let outer = first.lock();
+    let inner = second.lock();
+    drop(outer);
+    drop(inner);
+    let again = first.lock();
+    assert_eq!(*again + *second.lock(), 3);
+}
+
+#[tokio::test]
+async fn a_manual_timer_moves_by_its_hand_only() {
+    let (timer, hand) = Timer::manual();
+    let mut ticks = timer.subscribe(Duration::from_millis(100));
+    let waiting = tokio::spawn(async move { (ticks.tick().await, ticks.tick().await) });
+    tokio::task::yield_now().await;
+    assert!(!waiting.is_finished());
+    hand.advance(Duration::from_millis(350));
+    while timer.now_ms() < 350 || !waiting.is_finished() {
+        // A late subscriber skips the ticks that it missed.
+        hand.advance(Duration::from_millis(100));
+        tokio::task::yield_now().await;
+    }
+    let (first, second) = waiting.await.expect("the subscriber does not panic");
+    assert!(first >= 350 && second >= first + 100, "{first} {second}");
+}
+
+#[test]
+fn policies_register_themselves() {
+    assert!(plugin::policies().contains(&"first-fit"));
+    assert!(plugin::policy("first-fit").is_some());
+    assert!(plugin::policy("no-such-policy").is_none());
+}
