--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -74,6 +74,7 @@
         let timing = Timing {
             heartbeat_ms: settings.times.heartbeat_ms,
             election_ms: settings.times.election_ms,
+            ..Timing::default()
         };
         restore(&machine, &saved.snapshot.data.0);
         let replica = Replica::new(store.id(), timing, saved, rand::random(), timer.now_ms());
--- a/src/replica/append.rs
+++ b/src/replica/append.rs
@@ -3,8 +3,6 @@
 use super::member::Id;
 use super::{Body, Effect, Entry, Payload, Refusal, Replica, Role};
 
-/// Bytes of entries in one message, approximately.
-const BATCH_BYTES: usize = 256 << 10;
 /// Unanswered batches a follower may have.
 const WINDOW: usize = 8;
 
@@ -107,6 +105,7 @@
     pub(super) fn send_append(&mut self, to: Id, heartbeat: bool) {
         let now_ms = self.now_ms;
         let resend_ms = self.timing.election_ms;
+        let batch_bytes = self.timing.batch_bytes;
         let last = self.log.last_index();
         let first = self.log.snapshot().index + 1;
         let Role::Leader(leader) = &mut self.role else { return };
@@ -130,7 +129,7 @@
             return;
         }
         let prev_index = progress.next - 1;
-        let entries = if open { self.log.from(progress.next, BATCH_BYTES) } else { Vec::new() };
+        let entries = if open { self.log.from(progress.next, batch_bytes) } else { Vec::new() };
         if !entries.is_empty() {
             progress.inflight += 1;
             progress.sent_ms = now_ms;
@@ -216,7 +215,7 @@
         self.advance_commit();
         self.answer_reads();
         if caught_up && transfer.is_some_and(|(to, _)| to == from) {
-            self.send(from, Body::Campaign);
+            self.ask_to_campaign(from);
             return;
         }
         self.send_append(from, false);
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -51,7 +51,7 @@
     pub(super) fn answer_ask(&mut self, from: Id, term: u64, ask: Ask) {
         // A vote given while a leader is heard would break that leader's lease.
         let leased = self.leads() || self.now_ms < self.heard_ms + self.timing.election_ms;
-        if leased && !ask.transfer && !self.members.is_only_voter(self.id) {
+        if leased && !ask.transfer {
             self.refuse_ask(from, ask.pre);
             return;
         }
@@ -83,9 +83,10 @@
         self.send(to, Body::Answer { pre, granted: false });
     }
 
-    pub(super) fn count_vote(&mut self, from: Id, was_pre: bool, granted: bool) {
+    pub(super) fn count_vote(&mut self, from: Id, term: u64, was_pre: bool, granted: bool) {
         let Role::Candidate { pre, votes, .. } = &mut self.role else { return };
-        if !granted || *pre != was_pre {
+        let asked_term = self.vote.term + u64::from(*pre);
+        if !granted || *pre != was_pre || term != asked_term {
             return;
         }
         votes.insert(from);
@@ -117,6 +118,7 @@
             since_ms: self.now_ms,
             first_index: next,
             transfer: None,
+            exempted: false,
         });
         self.leader = Some(self.id);
         self.note_role();
@@ -165,7 +167,13 @@
         };
         leader.transfer = Some((to, now_ms + patience_ms));
         if matched == self.log.last_index() {
-            self.send(to, Body::Campaign);
+            self.ask_to_campaign(to);
         }
     }
+
+    pub(super) fn ask_to_campaign(&mut self, to: Id) {
+        let Role::Leader(leader) = &mut self.role else { return };
+        leader.exempted = true;
+        self.send(to, Body::Campaign);
+    }
 }
--- a/src/replica/member.rs
+++ b/src/replica/member.rs
@@ -131,8 +131,10 @@
             return Err(Refusal::Busy);
         }
         if let Change::Promote { id } = change {
-            let matched = leader.progress.get(id).map_or(0, |progress| progress.matched);
-            if matched < self.commit {
+            let Some(progress) = leader.progress.get(id) else { return Err(Refusal::Impossible) };
+            let silent_ms = self.now_ms.saturating_sub(progress.heard_ms);
+            // A silent voter would cost the group the loss it is meant to survive.
+            if progress.matched < self.commit || silent_ms > self.timing.election_ms {
                 return Err(Refusal::Busy);
             }
         }
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -39,18 +39,32 @@
     Impossible,
 }
 
-/// Intervals of a replica, in milliseconds.
+/// Bytes of entries in one message, approximately.
+const BATCH_BYTES: usize = 256 << 10;
+/// Bytes of one piece of a snapshot.
+const PIECE_BYTES: usize = 256 << 10;
+
+/// Intervals and message sizes of a replica.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// Between heartbeats of an idle leader.
+    /// Between heartbeats of an idle leader, in milliseconds.
     pub heartbeat_ms: u64,
-    /// Least silence before a follower campaigns; also bounds the leader's lease.
+    /// Least silence before a follower campaigns, in milliseconds; also bounds the leader's lease.
     pub election_ms: u64,
+    /// Entries in one message, approximately, in bytes.
+    pub batch_bytes: usize,
+    /// A piece of a snapshot, in bytes.
+    pub piece_bytes: usize,
 }
 
 impl Default for Timing {
     fn default() -> Self {
-        Self { heartbeat_ms: 250, election_ms: 1_000 }
+        Self {
+            heartbeat_ms: 250,
+            election_ms: 1_000,
+            batch_bytes: BATCH_BYTES,
+            piece_bytes: PIECE_BYTES,
+        }
     }
 }
 
@@ -323,6 +337,8 @@
     // Index of the first entry of this term; reads and membership changes wait for it.
     first_index: u64,
     transfer: Option<(Id, u64)>,
+    // A member asked to campaign, even long ago, may be elected against the lease.
+    exempted: bool,
 }
 
 /// What a replica restarts from.
@@ -478,7 +494,7 @@
         }
         match message.body {
             Body::Ask { .. } => {}
-            Body::Answer { pre, granted } => self.count_vote(from, pre, granted),
+            Body::Answer { pre, granted } => self.count_vote(from, message.term, pre, granted),
             Body::Append { prev_index, prev_term, entries, commit, sent_ms } => {
                 self.hear_leader(from);
                 self.append(
@@ -516,9 +532,7 @@
     fn hear_leader(&mut self, from: Id) {
         self.heard_ms = self.now_ms;
         self.reset_election();
-        if !matches!(self.role, Role::Follower) {
-            self.role = Role::Follower;
-        }
+        self.become_follower();
         if self.leader != Some(from) {
             self.leader = Some(from);
             self.note_role();
@@ -527,7 +541,7 @@
 
     fn follow(&mut self, term: u64, leader: Option<Id>) {
         let led = self.leads();
-        self.role = Role::Follower;
+        self.become_follower();
         if term > self.vote.term {
             self.vote = Vote { term, candidate: None };
             self.effects.push(Effect::Vote(self.vote));
@@ -540,6 +554,15 @@
         }
     }
 
+    fn become_follower(&mut self) {
+        let Role::Leader(leader) = std::mem::replace(&mut self.role, Role::Follower) else {
+            return;
+        };
+        for read in leader.reads {
+            self.effects.push(Effect::Refused { token: read.token, refusal: Refusal::NotLeader });
+        }
+    }
+
     fn note_role(&mut self) {
         let effect =
             Effect::Role { leads: self.leads(), leader: self.leader, term: self.vote.term };
--- a/src/replica/read.rs
+++ b/src/replica/read.rs
@@ -5,7 +5,7 @@
 /// A read that waits for a quorum's answer.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pending {
-    token: u64,
+    pub(super) token: u64,
     at_ms: u64,
 }
 
@@ -29,8 +29,8 @@
     pub fn holds_lease(&self) -> bool {
         let Role::Leader(leader) = &self.role else { return false };
         let heard_ms = self.quorum_heard_ms();
-        // A member asked to campaign is exempt from the promise.
-        leader.transfer.is_none() && self.now_ms < heard_ms + self.timing.lease_ms()
+        let promised = heard_ms > 0 && heard_ms >= leader.since_ms;
+        !leader.exempted && promised && self.now_ms < heard_ms + self.timing.lease_ms()
     }
 
     pub(super) fn answer_reads(&mut self) {
--- a/src/replica/snapshot.rs
+++ b/src/replica/snapshot.rs
@@ -5,14 +5,14 @@
 use super::member::Id;
 use super::{Body, Bytes, Effect, Replica, Role, Snapshot};
 
-/// Bytes of one piece.
-const PIECE_BYTES: usize = 256 << 10;
-
 /// A snapshot on its way in.
 #[derive(Debug)]
 pub(super) struct Incoming {
+    // Encodings of the same state may differ between senders.
+    from: Id,
+    sender_term: u64,
     index: u64,
-    term: u64,
+    length: u64,
     data: Vec<u8>,
 }
 
@@ -26,6 +26,15 @@
     pub(super) sent_ms: u64,
 }
 
+impl Incoming {
+    fn continues(&self, other: &Self) -> bool {
+        self.from == other.from
+            && self.sender_term == other.sender_term
+            && self.index == other.index
+            && self.length == other.length
+    }
+}
+
 impl Replica {
     pub(super) fn compact(&mut self, index: u64, data: Vec<u8>) {
         if index <= self.log.snapshot().index || index > self.applied {
@@ -44,6 +53,7 @@
 
     pub(super) fn send_chunk(&mut self, to: Id, heartbeat: bool) {
         let now_ms = self.now_ms;
+        let piece_bytes = self.timing.piece_bytes;
         let snapshot = self.log.snapshot();
         let data = snapshot.data.clone();
         let head = Snapshot { data: Arc::default(), ..snapshot.clone() };
@@ -57,7 +67,7 @@
         progress.inflight = 1;
         progress.sent_ms = now_ms;
         let start = offset as usize;
-        let end = data.0.len().min(start + PIECE_BYTES);
+        let end = data.0.len().min(start + piece_bytes);
         let piece = Bytes(data.0[start..end].to_vec());
         let length = data.0.len() as u64;
         self.send(to, Body::Chunk { head, offset, piece, length, sent_ms: now_ms });
@@ -66,16 +76,28 @@
     pub(super) fn take_chunk(&mut self, from: Id, chunk: Chunk) {
         let head = chunk.head;
         let sent_ms = chunk.sent_ms;
+        // Entries after a snapshot that the log already holds were acknowledged: they stay.
+        if self.log.term(head.index) == Some(head.term) {
+            self.commit_to(head.index);
+        }
         if head.index <= self.commit {
+            self.incoming = None;
             self.send(from, Body::Appended { index: head.index, matches: true, sent_ms });
             return;
         }
-        let fits = |held: &Incoming| held.index == head.index && held.term == head.term;
+        let fresh = Incoming {
+            from,
+            sender_term: self.vote.term,
+            index: head.index,
+            length: chunk.length,
+            data: Vec::new(),
+        };
         let mut incoming = match self.incoming.take() {
-            Some(held) if fits(&held) => held,
-            _ => Incoming { index: head.index, term: head.term, data: Vec::new() },
+            Some(held) if held.continues(&fresh) => held,
+            _ => fresh,
         };
-        if incoming.data.len() as u64 == chunk.offset {
+        let end = chunk.offset.saturating_add(chunk.piece.0.len() as u64);
+        if incoming.data.len() as u64 == chunk.offset && end <= chunk.length {
             incoming.data.extend_from_slice(&chunk.piece.0);
         }
         let offset = incoming.data.len() as u64;
