--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -133,7 +133,9 @@
     const MARGIN: Duration = Duration::from_millis(500);
     const MEMBERSHIP: Duration = Duration::from_secs(15);
     match call {
-        Call::AwaitInForce { within_ms, .. } => Duration::from_millis(*within_ms) + MARGIN,
+        Call::AwaitInForce { within_ms, .. } | Call::AwaitClaim { within_ms, .. } => {
+            Duration::from_millis(*within_ms) + MARGIN
+        }
         Call::AddMember { .. } | Call::Change(_) => MEMBERSHIP,
         _ => ATTEMPT,
     }
--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -1,56 +1,78 @@
 //! Leases that the leader grants to entries, and the worst case of the chain of leases.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::mesh::call::Renewal;
 use crate::settings::Times;
 
+/// A length as counted by whoever must outwait it: a tenth more, for clocks that run at
+/// different speeds.
+pub fn with_drift_ms(length_ms: u64) -> u64 {
+    length_ms + length_ms / 10
+}
+
 /// Longest silence of a worker after which none of its leases can still run.
 ///
-/// An entry may grant a worker lease at the last moment of its own lease. A tenth is added for
-/// clocks that run at different speeds.
-pub(super) fn worker_silence_ms(times: &Times) -> u64 {
-    let chain_ms = times.entry_lease_ms + times.worker_lease_ms;
-    chain_ms + chain_ms / 10
+/// An entry may grant a worker lease at the last moment of its own lease.
+pub fn worker_silence_ms(times: &Times) -> u64 {
+    with_drift_ms(times.entry_lease_ms + times.worker_lease_ms)
+}
+
+/// How long a new leader waits before it relies on its table of entry leases.
+///
+/// Leases of the old leader were asked for before this one was elected, so that they end within
+/// one length of it; two elections are added for the time that the old leader may go on.
+pub fn quiet_ms(times: &Times) -> u64 {
+    with_drift_ms(times.entry_lease_ms) + times.election_ms * 2
 }
 
 #[derive(Debug)]
 struct Granted {
-    incarnation: u64,
     version: u64,
     until_ms: u64,
 }
 
-/// Leases by entry.
+/// Leases by entry and incarnation.
+///
+/// A restarted entry does not end the lease of its earlier incarnation, which may be a process
+/// that is frozen and not dead.
 #[derive(Debug, Default)]
-pub(super) struct Table {
-    granted: BTreeMap<String, Granted>,
+pub struct Table {
+    granted: BTreeMap<(String, u64), Granted>,
 }
 
 impl Table {
-    pub(super) fn grant(&mut self, entry: &str, renewal: &Renewal, until_ms: u64) {
-        let granted =
-            Granted { incarnation: renewal.incarnation, version: renewal.version, until_ms };
-        self.granted.insert(entry.into(), granted);
+    /// Notes a lease and forgets those that ran out.
+    pub fn grant(&mut self, entry: &str, renewal: &Renewal, now_ms: u64, until_ms: u64) {
+        self.granted.retain(|_, granted| granted.until_ms > now_ms);
+        let key = (entry.to_string(), renewal.incarnation);
+        let granted = self.granted.entry(key).or_insert(Granted { version: 0, until_ms: 0 });
+        // Renewals may arrive out of order.
+        granted.version = granted.version.max(renewal.version);
+        granted.until_ms = granted.until_ms.max(until_ms);
     }
 
     /// Entries whose lease runs, sorted by name.
-    pub(super) fn live(&self, now_ms: u64) -> Vec<String> {
-        let live = self.granted.iter().filter(|(_, granted)| granted.until_ms > now_ms);
-        live.map(|(name, _)| name.clone()).collect()
+    pub fn live(&self, now_ms: u64) -> Vec<String> {
+        let mut names = BTreeSet::new();
+        for ((name, _), granted) in &self.granted {
+            if granted.until_ms > now_ms {
+                names.insert(name.clone());
+            }
+        }
+        names.into_iter().collect()
     }
 
     /// When the last lease with an older version runs out; `None` where there is none.
-    pub(super) fn in_force_at(&self, version: u64, now_ms: u64) -> Option<u64> {
+    pub fn in_force_at(&self, version: u64, now_ms: u64) -> Option<u64> {
         let old = self.granted.values().filter(|granted| granted.version < version);
         let running = old.filter(|granted| granted.until_ms > now_ms);
         running.map(|granted| granted.until_ms).max()
     }
 
     /// Whether this incarnation of an entry may hold a lease.
-    pub(super) fn is_live(&self, entry: &str, incarnation: u64, now_ms: u64) -> bool {
-        self.granted
-            .get(entry)
-            .is_some_and(|held| held.incarnation == incarnation && held.until_ms > now_ms)
+    pub fn is_live(&self, entry: &str, incarnation: u64, now_ms: u64) -> bool {
+        let held = self.granted.get(&(entry.to_string(), incarnation));
+        held.is_some_and(|granted| granted.until_ms > now_ms)
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,7 +3,7 @@
 pub mod client;
 pub mod fleet;
 mod group;
-mod lease;
+pub mod lease;
 mod scheduler;
 pub mod status;
 
@@ -32,6 +32,9 @@
 /// Longest wait for a change to be committed.
 const COMMIT: Duration = Duration::from_secs(5);
 
+/// Milliseconds between checks, at the leader, whether the owner of a pending claim lives.
+const OWNER_CHECK_MS: u64 = 250;
+
 /// A control member.
 pub struct Control {
     settings: Settings,
@@ -44,6 +47,8 @@
     policy: Table<Option<(String, Box<dyn Policy>)>>,
     // Woken where a lease was renewed or ran out.
     renewed: Notify,
+    // Woken where a claim was settled.
+    settled: Notify,
     // Woken where jobs or workers changed.
     changed: Notify,
     local: OnceLock<Box<dyn Fn(Notice) + Send + Sync>>,
@@ -71,6 +76,7 @@
             fleet: Table::new(Rank::Workers, fleet::Table::default()),
             policy: Table::new(Rank::Policy, None),
             renewed: Notify::new(),
+            settled: Notify::new(),
             changed: Notify::new(),
             local: OnceLock::new(),
         });
@@ -113,6 +119,9 @@
             Call::AwaitInForce { version, within_ms } => {
                 Ok(Answer::InForce(self.await_in_force(version, within_ms).await))
             }
+            Call::AwaitClaim { key, within_ms } => {
+                self.await_claim(key, within_ms).await.map(Answer::Claim)
+            }
             Call::Report(report) => self.report(from, report).await.map(Answer::Orders),
             Call::Change(change) => {
                 self.change_members(change).await?;
@@ -147,7 +156,11 @@
             Command::Job(job::Command::Cancel { ids, .. }) => self.workers_of(ids),
             _ => BTreeSet::new(),
         };
+        let settles = matches!(&command, Command::Settle(_));
         let reply = self.group.propose(command, COMMIT).await?;
+        if settles {
+            self.settled.notify_waiters();
+        }
         if let Reply::Configured(version) = reply {
             self.mesh.broadcast(&Notice::Configured { version });
             self.local_notice(Notice::Configured { version });
@@ -187,7 +200,8 @@
         };
         let entries = {
             let mut leases = self.leases.lock();
-            leases.grant(from, renewal, now_ms + length_ms);
+            let until_ms = now_ms + lease::with_drift_ms(length_ms);
+            leases.grant(from, renewal, now_ms, until_ms);
             leases.live(now_ms)
         };
         self.fleet.lock().hear(from, &renewal.workers, now_ms);
@@ -219,8 +233,24 @@
 
     // A new leader does not know which leases the old one gave, nor when it noticed its end.
     fn knows_leases(&self, now_ms: u64) -> bool {
-        let quiet_ms = self.settings.times.entry_lease_ms + self.settings.times.election_ms * 2;
-        now_ms >= self.standing().since_ms + quiet_ms
+        now_ms >= self.standing().since_ms + lease::quiet_ms(&self.settings.times)
+    }
+
+    async fn await_claim(&self, key: Key, within_ms: u64) -> Result<Option<Grant>> {
+        let until_ms = self.timer.now_ms() + within_ms;
+        loop {
+            let settled = self.settled.notified();
+            self.group.read().await?;
+            let grant = self.claim(key);
+            let now_ms = self.timer.now_ms();
+            if !matches!(grant, Some(Grant::Pending(_))) || now_ms >= until_ms {
+                return Ok(grant);
+            }
+            tokio::select! {
+                () = settled => {}
+                () = self.timer.sleep_until(until_ms.min(now_ms + OWNER_CHECK_MS)) => {}
+            }
+        }
     }
 
     fn claim(&self, key: Key) -> Option<Grant> {
@@ -288,7 +318,6 @@
                 let document = Box::new(machine.config.document.clone());
                 Answer::Config { version: machine.config.version, document }
             }
-            Call::Claim(key) => Answer::Claim(self.claim(key)),
             Call::Job { id } => {
                 Answer::Job(self.machine.lock().jobs.get(&id).cloned().map(Box::new))
             }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Entry: terminates callers, operators, upstreams and workers.
 
 pub mod caller;
+mod claimed;
 mod health;
 pub mod http;
 pub mod listen;
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -176,11 +176,7 @@
         let bytes = self.0.read(body, shared::DOCUMENT_BYTES).await?;
         let document: Document = shared::parse(&bytes)?;
         let faults = self.faults(&document).await?;
-        if !faults.is_empty() {
-            let listed: Vec<String> = faults.iter().map(Fault::to_string).collect();
-            return Err(Error::not_run(Code::Unsatisfiable, listed.join("; ")));
-        }
-        let change = config::Change { request_id, expected, document };
+        let change = config::Change::new(request_id, expected, document, faults);
         let command = Command::Configure(change);
         let version = match self.0.client.propose(command, COMMIT).await? {
             Reply::Configured(version) => version,
--- a/src/mesh/call.rs
+++ b/src/mesh/call.rs
@@ -29,8 +29,13 @@
     Report(Report),
     /// Reads the configuration.
     Config,
-    /// Reads a claim.
-    Claim(claim::Key),
+    /// Waits until a claim is no longer pending.
+    AwaitClaim {
+        /// Key.
+        key: claim::Key,
+        /// Longest wait, in milliseconds.
+        within_ms: u64,
+    },
     /// Reads a job.
     Job {
         /// Job.
--- a/src/state/config.rs
+++ b/src/state/config.rs
@@ -3,13 +3,15 @@
 use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 use super::Result;
-use super::document::Document;
+use super::document::{Document, Fault};
 use crate::error::{Code, Error};
+use crate::mesh::frame::encode;
 
 /// Outcomes of operator requests that are remembered for resends.
-const OUTCOMES: usize = 2_048;
+pub const OUTCOMES: usize = 2_048;
 
 /// An operator's request to replace the document.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -20,6 +22,34 @@
     pub expected: u64,
     /// The new document.
     pub document: Document,
+    /// Digest of the version that the operator saw and of the document.
+    pub digest: u128,
+    /// Faults found on the way in. They travel with the change, since the machine must decide
+    /// alike on members whose programs differ.
+    pub faults: Vec<Fault>,
+}
+
+impl Change {
+    /// A change of a document that was checked before.
+    pub fn new(request_id: String, expected: u64, document: Document, faults: Vec<Fault>) -> Self {
+        let digest = digest(expected, &document);
+        // A document that is refused need not be kept in the log.
+        let document = if faults.is_empty() { document } else { Document::default() };
+        Self { request_id, expected, document, digest, faults }
+    }
+}
+
+fn digest(expected: u64, document: &Document) -> u128 {
+    let mut first = [0; 16];
+    first.copy_from_slice(&Sha256::digest(encode(&(expected, document)))[..16]);
+    u128::from_le_bytes(first)
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Recorded {
+    request_id: String,
+    digest: u128,
+    result: Result<u64>,
 }
 
 /// The current document and its version.
@@ -29,26 +59,38 @@
     pub version: u64,
     /// Document in force.
     pub document: Document,
-    outcomes: VecDeque<(String, Result<u64>)>,
+    outcomes: VecDeque<Recorded>,
 }
 
 impl Register {
     /// Applies a change and returns the version that it made.
     ///
     /// # Errors
-    /// `conflict` where the version has moved on; a resend gets the outcome of the first send.
+    /// `conflict` where the version has moved on, `unsatisfiable` where the document has faults,
+    /// `key_reused` where the request id stands for another change. A resend gets the outcome of
+    /// the first send, a refusal included.
     pub fn apply(&mut self, change: &Change) -> Result<u64> {
-        for (id, outcome) in &self.outcomes {
-            if *id == change.request_id {
-                return outcome.clone();
+        for recorded in &self.outcomes {
+            if recorded.request_id != change.request_id {
+                continue;
             }
+            if recorded.digest != change.digest {
+                let message = "the request id was used for another change";
+                return Err(Error::not_run(Code::KeyReused, message));
+            }
+            return recorded.result.clone();
         }
-        let outcome = self.replace(change);
-        self.outcomes.push_back((change.request_id.clone(), outcome.clone()));
+        let result = self.replace(change);
+        let request_id = change.request_id.clone();
+        self.outcomes.push_back(Recorded {
+            request_id,
+            digest: change.digest,
+            result: result.clone(),
+        });
         if self.outcomes.len() > OUTCOMES {
             self.outcomes.pop_front();
         }
-        outcome
+        result
     }
 
     fn replace(&mut self, change: &Change) -> Result<u64> {
@@ -56,6 +98,10 @@
             let message = format!("current version is {}, not {}", self.version, change.expected);
             return Err(Error::not_run(Code::Conflict, message));
         }
+        if !change.faults.is_empty() {
+            let listed: Vec<String> = change.faults.iter().map(Fault::to_string).collect();
+            return Err(Error::not_run(Code::Unsatisfiable, listed.join("; ")));
+        }
         self.version += 1;
         self.document = change.document.clone();
         Ok(self.version)
--- /dev/null
+++ b/tests/fault_config.rs
@@ -0,0 +1,117 @@
+//! Faults of configuration and of entry leases: one row, one fault, one expected outcome.
+
+use eelgrassvalve::control::lease;
+use eelgrassvalve::error::Code;
+use eelgrassvalve::mesh::call::Renewal;
+use eelgrassvalve::mesh::frame::{decode, encode};
+use eelgrassvalve::state::config::{Change, OUTCOMES, Register};
+use eelgrassvalve::state::document::{Document, Kind};
+use eelgrassvalve::verdict::Verdict;
+use rstest::rstest;
+
+fn document(kind: &str) -> Document {
+    let kind = Kind { name: kind.into(), rank: 0, deadline_ms: 1_000 };
+    Document { kinds: vec![kind], ..Document::default() }
+}
+
+fn change(id: &str, expected: u64, kind: &str) -> Change {
+    let document = document(kind);
+    let faults = document.faults();
+    Change::new(id.into(), expected, document, faults)
+}
+
+/// What follows a first change `a` from version 0 to 1.
+#[rstest]
+#[case::next(change("b", 1, "score"), Ok(2))]
+#[case::resent(change("a", 0, "plan"), Ok(1))]
+#[case::same_version(change("b", 0, "score"), Err(Code::Conflict))]
+#[case::same_version_same_document(change("b", 0, "plan"), Err(Code::Conflict))]
+#[case::later_version(change("b", 7, "score"), Err(Code::Conflict))]
+#[case::id_with_another_document(change("a", 0, "score"), Err(Code::KeyReused))]
+#[case::id_with_another_version(change("a", 1, "plan"), Err(Code::KeyReused))]
+#[case::faults(change("b", 1, "Not A Name"), Err(Code::Unsatisfiable))]
+fn a_change_after_the_first(#[case] second: Change, #[case] expected: Result<u64, Code>) {
+    let mut register = Register::default();
+    assert_eq!(register.apply(&change("a", 0, "plan")), Ok(1));
+    let told = register.apply(&second);
+    assert_eq!(told.clone().map_err(|error| error.code), expected);
+    let wanted = if expected == Ok(2) { document("score") } else { document("plan") };
+    assert_eq!(register.document, wanted);
+    if let Err(error) = &told {
+        assert_eq!(error.verdict, Verdict::NotRun);
+    }
+    if expected == Err(Code::Conflict) {
+        assert!(told.clone().unwrap_err().message.contains("current version is 1"));
+    }
+    // A resend gets the same answer, also of a refusal and after other changes.
+    let now = register.version;
+    register.apply(&change("c", now, "check")).expect("the version is current");
+    assert_eq!(register.apply(&second), told);
+    assert_eq!(register.version, now + 1);
+    assert_eq!(decode::<Register>(&encode(&register)), Ok(register));
+}
+
+#[test]
+fn a_refused_change_that_would_fit_later_stays_refused_under_its_id() {
+    let mut register = Register::default();
+    let early = change("a", 1, "plan");
+    assert!(register.apply(&early).is_err());
+    assert_eq!(register.apply(&change("b", 0, "score")), Ok(1));
+    assert_eq!(register.apply(&early).unwrap_err().code, Code::Conflict);
+    assert_eq!(register.document, document("score"));
+}
+
+#[test]
+fn a_forgotten_request_id_can_not_apply_its_change_again() {
+    let mut register = Register::default();
+    for version in 0..=OUTCOMES as u64 {
+        let id = format!("change-{version}");
+        assert_eq!(register.apply(&change(&id, version, "plan")), Ok(version + 1));
+    }
+    let resent = register.apply(&change("change-0", 0, "plan"));
+    assert_eq!(resent.unwrap_err().code, Code::Conflict);
+}
+
+#[test]
+fn every_fault_is_told_at_once() {
+    let mut bad = document("Not A Name");
+    bad.kinds.push(bad.kinds[0].clone());
+    bad.kinds[1].deadline_ms = 0;
+    bad.claims.capacity = 0;
+    bad.placement.policy = "none".into();
+    let faults = bad.faults();
+    let refused = Register::default().apply(&Change::new("a".into(), 0, bad, faults.clone()));
+    let message = refused.unwrap_err().message;
+    for path in ["kinds[0].name", "kinds[1].name", "kinds[1].deadline_ms", "claims.capacity"] {
+        assert!(message.contains(path), "{path} in {message}");
+    }
+    assert!(faults.len() >= 5 && message.contains("placement.policy"));
+}
+
+fn renewal(incarnation: u64, version: u64) -> Renewal {
+    Renewal { incarnation, version, workers: Vec::new() }
+}
+
+/// Renewals as (incarnation, version, time); when version 2 is in force for certain.
+#[rstest]
+#[case::acked(&[(1, 1, 0), (1, 2, 10)], None)]
+#[case::not_acked(&[(1, 1, 0)], Some(100))]
+#[case::renewed_but_not_acked(&[(1, 1, 0), (1, 1, 30)], Some(130))]
+#[case::late_copy_of_an_old_renewal(&[(1, 1, 0), (1, 2, 10), (1, 1, 20)], None)]
+#[case::restarted_while_the_old_process_may_be_frozen(&[(1, 1, 0), (2, 2, 30)], Some(100))]
+#[case::restarted_and_neither_acked(&[(1, 1, 0), (2, 0, 30)], Some(130))]
+fn in_force_waits_for_every_incarnation(
+    #[case] renewals: &[(u64, u64, u64)],
+    #[case] expected: Option<u64>,
+) {
+    let mut table = lease::Table::default();
+    for (incarnation, version, at_ms) in renewals {
+        table.grant("a", &renewal(*incarnation, *version), *at_ms, at_ms + 100);
+    }
+    assert_eq!(table.in_force_at(2, 40), expected);
+    assert_eq!(table.live(40), ["a"]);
+    assert_eq!(table.in_force_at(2, 130), None);
+    assert!(table.is_live("a", renewals[0].0, 40));
+    assert!(!table.is_live("a", renewals[0].0, 130));
+    assert!(!table.is_live("a", 9, 40));
+}
