--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -25,6 +25,16 @@
 const WAIT_MS: u64 = 30_000;
 /// Greatest number of jobs in one cancel.
 const BATCH: usize = 10_000;
+/// Longest deadline of a request, in milliseconds.
+const DEADLINE_MS: u64 = 86_400_000;
+/// Longest declared run time or deadline of a job, in milliseconds.
+const JOB_MS: u64 = 30 * 86_400_000;
+/// Most processor cores that a part may ask for.
+const CORES: u64 = 65_536;
+/// Most memory that a part may ask for, in MiB.
+const MEMORY_MIB: u64 = 64 << 20;
+/// Longest payload of a job, in bytes.
+const PAYLOAD_BYTES: u64 = 64 << 10;
 
 /// A batch of jobs to cancel.
 #[derive(Debug, Deserialize, Serialize)]
@@ -70,10 +80,10 @@
         async move { shared::respond(cancel_many(&entry, request).await) }
     };
     Router::new()
-        .route("/v1/requests/{kind}", post(run))
-        .route("/v1/jobs", get(list).post(submit))
-        .route("/v1/jobs/cancel", post(cancel_many))
-        .route("/v1/jobs/{id}", get(fetch).delete(cancel_one))
+        .route("/v1/requests/{kind}", post(run).fallback(shared::missing))
+        .route("/v1/jobs", get(list).post(submit).fallback(shared::missing))
+        .route("/v1/jobs/cancel", post(cancel_many).fallback(shared::missing))
+        .route("/v1/jobs/{id}", get(fetch).delete(cancel_one).fallback(shared::missing))
 }
 
 async fn run(entry: &Arc<Entry>, kind: String, request: Request) -> Response {
@@ -86,6 +96,7 @@
 async fn try_run(entry: &Arc<Entry>, kind: String, request: Request) -> Result<claim::Answer> {
     let (head, body) = request.into_parts();
     let customer = entry.tokens.customer(&head.headers)?;
+    shared::check_name("kind", &kind)?;
     let key = shared::text(&head.headers, "idempotency-key")?.map(str::to_string);
     if key.as_ref().is_some_and(|key| key.is_empty() || key.len() > 256) {
         let message = "Idempotency-Key is not 1 to 256 characters long";
@@ -99,7 +110,7 @@
             return Err(Error::not_run(Code::BadRequest, message));
         }
     };
-    let deadline_ms = shared::number(&head.headers, "eelgrassvalve-deadline-ms")?;
+    let deadline_ms = shared::millis(&head.headers, "eelgrassvalve-deadline-ms", DEADLINE_MS)?;
     let content_type = shared::text(&head.headers, header::CONTENT_TYPE.as_str())?;
     let content_type = content_type.map(str::to_string);
     let payload = entry.read(body, entry.settings.limits.body_bytes).await?;
@@ -159,8 +170,11 @@
     let ranges = [
         ("parts", u64::from(spec.parts), 1, 32),
         ("accelerators", u64::from(spec.accelerators), 0, 32),
-        ("run_ms", spec.run_ms, 0, 30 * 86_400_000),
-        ("payload length", spec.payload.len() as u64, 0, 64 << 10),
+        ("cores", u64::from(spec.cores), 0, CORES),
+        ("memory_mib", spec.memory_mib, 0, MEMORY_MIB),
+        ("run_ms", spec.run_ms, 0, JOB_MS),
+        ("deadline_ms", spec.deadline_ms.unwrap_or(JOB_MS), 1, JOB_MS),
+        ("payload length", spec.payload.len() as u64, 0, PAYLOAD_BYTES),
     ];
     for (name, value, low, high) in ranges {
         if (low..=high).contains(&value) {
@@ -182,15 +196,7 @@
 
 async fn fetch(entry: &Entry, id: &str, request: &Request) -> Result<Job> {
     let customer = entry.tokens.customer(request.headers())?;
-    let query = request.uri().query().unwrap_or("");
-    let wait_ms = match query.strip_prefix("wait_ms=").map(str::parse) {
-        None => 0,
-        Some(Ok(wait_ms)) => WAIT_MS.min(wait_ms),
-        Some(Err(_)) => {
-            let message = "wait_ms is not a whole number";
-            return Err(Error::not_run(Code::BadRequest, message));
-        }
-    };
+    let wait_ms = wait_ms(request.uri().query().unwrap_or(""))?;
     let until_ms = entry.timer.now_ms() + wait_ms;
     loop {
         let job = match entry.client.call(Call::Job { id: id.into() }, COMMIT).await? {
@@ -207,8 +213,25 @@
     }
 }
 
+// Only `wait_ms` is known, and only once.
+fn wait_ms(query: &str) -> Result<u64> {
+    if query.is_empty() {
+        return Ok(0);
+    }
+    let digits = query.strip_prefix("wait_ms=");
+    let parsed = digits.and_then(|digits| digits.parse::<u64>().ok());
+    match parsed {
+        Some(wait_ms) => Ok(wait_ms.min(WAIT_MS)),
+        None => {
+            let message = "the query is not `wait_ms=` and a whole number";
+            Err(Error::not_run(Code::BadRequest, message))
+        }
+    }
+}
+
 async fn cancel_many(entry: &Entry, request: Request) -> Result<Cancelled> {
     let (head, body) = request.into_parts();
+    entry.tokens.customer(&head.headers)?;
     let bytes = entry.read(body, entry.settings.limits.body_bytes).await?;
     let batch: Cancel = shared::parse(&bytes)?;
     if batch.ids.len() > BATCH {
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -18,9 +18,17 @@
         async move { ready(&entry) }
     };
     Router::new()
-        .route("/livez", get(async || text(StatusCode::OK, "live\n".into())))
-        .route("/readyz", get(ready))
-        .route("/metrics", get(async || text(StatusCode::OK, Metrics::global().scrape())))
+        .route("/livez", get(live).fallback(shared::missing))
+        .route("/readyz", get(ready).fallback(shared::missing))
+        .route("/metrics", get(metrics).fallback(shared::missing))
+}
+
+async fn live() -> Response {
+    text(StatusCode::OK, "live\n".into())
+}
+
+async fn metrics() -> Response {
+    text(StatusCode::OK, Metrics::global().scrape())
 }
 
 fn ready(entry: &Entry) -> Response {
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -11,6 +11,7 @@
 use volo_http::response::Response;
 
 use crate::error::{Code, Error, Result};
+use crate::state::document::is_name;
 use crate::verdict::{self, Verdict};
 
 /// Longest body of an operator's document, in bytes.
@@ -32,20 +33,29 @@
     }
 }
 
-/// Parses a JSON body.
+/// Parses a JSON body that is an object.
 ///
 /// # Errors
 /// `bad_request`, `not_run`.
 pub fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    // A list would be read as the fields in order, and an empty one as all defaults.
+    if bytes.trim_ascii_start().first() != Some(&b'{') {
+        return Err(Error::not_run(Code::BadRequest, "the body is not a JSON object"));
+    }
     serde_json::from_slice(bytes).map_err(|e| Error::not_run(Code::BadRequest, e.to_string()))
 }
 
 /// Value of a header as text.
 ///
 /// # Errors
-/// `bad_request` where it is not visible ASCII.
+/// `bad_request` where it is not visible ASCII or stands more than once.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        let message = format!("header {name} stands more than once");
+        return Err(Error::not_run(Code::BadRequest, message));
+    }
     let text = value.to_str();
     let bad = |_| Error::not_run(Code::BadRequest, format!("header {name} is not visible ASCII"));
     text.map(Some).map_err(bad)
@@ -61,6 +71,36 @@
     text.trim_matches('"').parse().map(Some).map_err(bad)
 }
 
+/// Value of a header as a whole number of milliseconds from 1 to `greatest`.
+///
+/// # Errors
+/// `bad_request` where it is none or out of range.
+pub fn millis(headers: &HeaderMap, name: &str, greatest: u64) -> Result<Option<u64>> {
+    let value = number(headers, name)?;
+    if value.is_none_or(|value| (1..=greatest).contains(&value)) {
+        return Ok(value);
+    }
+    let message = format!("header {name} is not from 1 to {greatest}");
+    Err(Error::not_run(Code::BadRequest, message))
+}
+
+/// Checks that a path parameter or field is a name.
+///
+/// # Errors
+/// `bad_request`, `not_run`.
+pub fn check_name(what: &str, name: &str) -> Result<()> {
+    if is_name(name) {
+        return Ok(());
+    }
+    let message = format!("{what} `{name}` is not 1 to 64 of a-z, 0-9, - and _");
+    Err(Error::not_run(Code::BadRequest, message))
+}
+
+/// Handler of paths and methods that a listener does not have.
+pub async fn missing() -> Response {
+    refuse(&Error::not_run(Code::NotFound, "no such path or method"))
+}
+
 /// A JSON answer with a verdict.
 pub fn json<T: Serialize>(status: StatusCode, verdict: Verdict, value: &T) -> Response {
     let bytes = serde_json::to_vec(value).unwrap_or_default();
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -86,42 +86,50 @@
         .route(
             "/v1/config",
             get(move |r: Request| async move { shared::respond(h1.config(r).await) })
-                .put(move |r: Request| async move { shared::respond(h2.configure(r).await) }),
+                .put(move |r: Request| async move { shared::respond(h2.configure(r).await) })
+                .fallback(shared::missing),
         )
         .route(
             "/v1/config/check",
-            post(move |r: Request| async move { shared::respond(h3.check(r).await) }),
+            post(move |r: Request| async move { shared::respond(h3.check(r).await) })
+                .fallback(shared::missing),
         )
         .route(
             "/v1/status",
-            get(move |r: Request| async move { shared::respond(h4.status(r).await) }),
+            get(move |r: Request| async move { shared::respond(h4.status(r).await) })
+                .fallback(shared::missing),
         )
         .route(
             "/v1/workers",
-            get(move |r: Request| async move { shared::respond(h5.workers(r).await) }),
+            get(move |r: Request| async move { shared::respond(h5.workers(r).await) })
+                .fallback(shared::missing),
         )
         .route(
             "/v1/upstreams",
-            get(move |r: Request| async move { shared::respond(h6.upstreams(&r)) }),
+            get(move |r: Request| async move { shared::respond(h6.upstreams(&r)) })
+                .fallback(shared::missing),
         )
         .route(
             "/v1/members",
             get(move |r: Request| async move {
                 shared::respond(h7.status(r).await.map(|cluster| cluster.members))
             })
-            .post(move |r: Request| async move { shared::respond(h8.add_member(r).await) }),
+            .post(move |r: Request| async move { shared::respond(h8.add_member(r).await) })
+            .fallback(shared::missing),
         )
         .route(
             "/v1/members/{id}",
             delete(move |PathParams(id): PathParams<String>, r: Request| async move {
                 shared::respond(h9.remove_member(&id, r).await)
-            }),
+            })
+            .fallback(shared::missing),
         )
         .route(
             "/v1/workers/{id}/drain",
             post(move |PathParams(id): PathParams<String>, r: Request| async move {
                 shared::respond(h10.drain_worker(id, r).await)
-            }),
+            })
+            .fallback(shared::missing),
         )
         .route(
             "/v1/upstreams/{id}/drain",
@@ -130,13 +138,15 @@
                 move |PathParams(id): PathParams<String>, r: Request| async move {
                     shared::respond(handlers.drain_upstream(&id, &r))
                 }
-            }),
+            })
+            .fallback(shared::missing),
         )
         .route(
             "/v1/jobs/{id}/explain",
             get(move |PathParams(id): PathParams<String>, r: Request| async move {
                 shared::respond(h11.explain(id, r).await)
-            }),
+            })
+            .fallback(shared::missing),
         )
 }
 
@@ -233,6 +243,7 @@
         self.check_token(&request)?;
         let bytes = self.0.read(request.into_parts().1, shared::DOCUMENT_BYTES).await?;
         let Named { name } = shared::parse(&bytes)?;
+        shared::check_name("daemon", &name)?;
         let text = format!("{name} is a voter");
         self.0.client.call(Call::AddMember { name }, MEMBERSHIP).await?;
         Ok(Text { text })
@@ -251,6 +262,7 @@
 
     async fn drain_worker(&self, worker: String, request: Request) -> Result<Text> {
         self.check_token(&request)?;
+        shared::check_name("worker", &worker)?;
         let bytes = self.0.read(request.into_parts().1, shared::DOCUMENT_BYTES).await?;
         let Drain { draining } = shared::parse(&bytes)?;
         let text = format!("{worker}: draining = {draining}");
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -75,8 +75,8 @@
         async move { shared::respond(poll(&entry, id, request).await) }
     };
     Router::new()
-        .route("/v1/upstreams/{id}/announce", post(announce))
-        .route("/v1/workers/{id}/poll", post(poll))
+        .route("/v1/upstreams/{id}/announce", post(announce).fallback(shared::missing))
+        .route("/v1/workers/{id}/poll", post(poll).fallback(shared::missing))
 }
 
 fn check_name(what: &str, id: &str) -> Result<()> {
--- a/src/entry/token.rs
+++ b/src/entry/token.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
+use ::http::HeaderMap;
 use derive_more::{Display, Error};
-use http::HeaderMap;
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
 
+use super::http;
 use crate::error::{self, Code};
+use crate::state::document::is_name;
 
 /// Result of reading a token file.
 pub type Result<T> = std::result::Result<T, Unreadable>;
@@ -55,6 +57,9 @@
     roles: Option<BTreeMap<String, Role>>,
 }
 
+/// Characters of a digest in hexadecimal.
+const DIGEST_CHARS: usize = 64;
+
 /// Customer of callers where no tokens are asked for, if their request names none.
 pub const ANYONE: &str = "anyone";
 
@@ -71,10 +76,29 @@
     pub fn load(path: &Path) -> Result<Self> {
         let unreadable = |detail: String| Unreadable { path: path.display().to_string(), detail };
         let text = std::fs::read_to_string(path).map_err(|e| unreadable(e.to_string()))?;
-        let file: File = toml::from_str(&text).map_err(|e| unreadable(e.to_string()))?;
+        Self::parse(&text).map_err(unreadable)
+    }
+
+    /// Reads the text of a file of digests.
+    ///
+    /// # Errors
+    /// What is wrong with it, for a person.
+    pub fn parse(text: &str) -> std::result::Result<Self, String> {
+        let file: File = toml::from_str(text).map_err(|e| e.to_string())?;
         let mut roles = BTreeMap::new();
-        for row in file.token {
-            roles.insert(row.sha256.to_ascii_lowercase(), row.role);
+        for (at, row) in file.token.into_iter().enumerate() {
+            let digest = row.sha256.to_ascii_lowercase();
+            if digest.len() != DIGEST_CHARS || !digest.bytes().all(|b| b.is_ascii_hexdigit()) {
+                return Err(format!("token[{at}].sha256 is not {DIGEST_CHARS} hexadecimal digits"));
+            }
+            if let Role::Caller(customer) = &row.role
+                && !is_name(customer)
+            {
+                return Err(format!("token[{at}].role: `{customer}` can't name a customer"));
+            }
+            if roles.insert(digest, row.role).is_some() {
+                return Err(format!("token[{at}].sha256 stands twice"));
+            }
         }
         Ok(Self { roles: Some(roles) })
     }
@@ -82,11 +106,12 @@
     /// The customer that a caller's request is bound to.
     ///
     /// # Errors
-    /// `unauthorized` or `forbidden`.
+    /// `unauthorized` or `forbidden`; without tokens, `bad_request` for a malformed customer.
     pub fn customer(&self, headers: &HeaderMap) -> error::Result<String> {
         if self.roles.is_none() {
-            let named = headers.get("eelgrassvalve-customer").and_then(|value| value.to_str().ok());
-            return Ok(named.unwrap_or(ANYONE).to_string());
+            let named = http::text(headers, "eelgrassvalve-customer")?.unwrap_or(ANYONE);
+            http::check_name("customer", named)?;
+            return Ok(named.to_string());
         }
         match self.role(headers)? {
             Role::Caller(customer) => Ok(customer.clone()),
@@ -115,7 +140,8 @@
 
     fn role(&self, headers: &HeaderMap) -> error::Result<&Role> {
         let unauthorized = || error::Error::not_run(Code::Unauthorized, "no valid bearer token");
-        let value = headers.get(http::header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let value =
+            headers.get(::http::header::AUTHORIZATION).and_then(|value| value.to_str().ok());
         let token =
             value.and_then(|value| value.strip_prefix("Bearer ")).ok_or_else(unauthorized)?;
         let roles = self.roles.as_ref().ok_or_else(unauthorized)?;
--- a/src/mesh/handshake.rs
+++ b/src/mesh/handshake.rs
@@ -10,6 +10,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use super::frame::{Greeting, Hello, Malformed, Proof, VERSION, decode, encode};
+use crate::state::document::is_name;
 
 /// Result of a handshake.
 pub(super) type Result<T> = std::result::Result<T, Refused>;
@@ -65,6 +66,10 @@
         if theirs.hello.version != VERSION {
             return Err(Refused::Version { theirs: theirs.hello.version });
         }
+        let name = &theirs.hello.name;
+        if !is_name(name) || *name == own.name {
+            return Err(Refused::Name { name: name.clone() });
+        }
         let mac = sign(key, &greeting, &theirs).finalize().into_bytes().to_vec();
         self.send(&encode(&Proof { mac })).await?;
         let proof: Proof = decode(&self.receive().await?)?;
