--- /dev/null
+++ b/tests/fuzz_frame.rs
@@ -0,0 +1,121 @@
+//! Property tests of the frames between daemons.
+
+use eelgrassvalve::error::{Code, Error};
+use eelgrassvalve::mesh::call::{Call, Renewal};
+use eelgrassvalve::mesh::frame::{Frame, Greeting, Hello, Notice, Proof, decode, encode};
+use eelgrassvalve::placement::order::{Action, Order};
+use eelgrassvalve::replica::member::Id;
+use eelgrassvalve::state::claim::{Answer, Key, Outcome, Owner, Settlement};
+use eelgrassvalve::state::{Command, Stamped};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
+
+prop_compose! {
+    fn order()(
+        job in ".{0,20}", part: u32, epoch: u64, accelerators: u32, payload in ".{0,40}",
+        checkpoint in proptest::option::of(".{0,9}"), grace_ms: u64, pick in 0..3usize,
+    ) -> Order {
+        let action = match pick {
+            0 => Action::Prepare { accelerators, payload, checkpoint },
+            1 => Action::Start,
+            _ => Action::Stop { grace_ms },
+        };
+        Order { job, part, epoch, action }
+    }
+}
+
+prop_compose! {
+    fn settlement()(
+        key: u128, entry in ".{0,20}", incarnation: u64, status: u16,
+        body in proptest::option::of(vec(any::<u8>(), 0..300)),
+        content_type in proptest::option::of(".{0,20}"),
+    ) -> Settlement {
+        let outcome = Outcome::Ran(Answer { status, content_type, body });
+        Settlement { key: Key(key), owner: Owner { entry, incarnation }, outcome }
+    }
+}
+
+fn frame() -> impl Strategy<Value = Frame> {
+    prop_oneof![
+        (any::<u64>(), any::<u64>(), any::<u64>(), vec(".{0,20}", 0..5)).prop_map(
+            |(number, incarnation, version, workers)| Frame::Call {
+                number,
+                call: Call::Renew(Renewal { incarnation, version, workers }),
+            }
+        ),
+        (any::<u64>(), settlement()).prop_map(|(number, settlement)| Frame::Call {
+            number,
+            call: Call::Propose(Command::Settle(settlement)),
+        }),
+        (any::<u64>(), ".{0,50}").prop_map(|(number, text)| Frame::Answer {
+            number,
+            answer: Err(Error::may_have_run(Code::NoQuorum, text)),
+        }),
+        (".{0,20}", vec(order(), 0..5))
+            .prop_map(|(worker, orders)| Frame::Notice(Notice::Orders { worker, orders })),
+    ]
+}
+
+fn check(bytes: &[u8]) -> Result<(), TestCaseError> {
+    if let Err(malformed) = decode::<Frame>(bytes) {
+        prop_assert!(malformed.detail.len() < 1_000 + bytes.len());
+    }
+    let _ = decode::<Greeting>(bytes);
+    let _ = decode::<Proof>(bytes);
+    let _ = decode::<Stamped>(bytes);
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..<_>::default() })]
+
+    #[test]
+    fn frames_round_trip(frame in frame()) {
+        let bytes = encode(&frame);
+        prop_assert_eq!(decode::<Frame>(&bytes).expect("is valid"), frame);
+        // Neither a part of a frame nor more than one is taken.
+        prop_assert!(decode::<Frame>(&bytes[..bytes.len() - 1]).is_err());
+        let twice = [bytes.as_slice(), &bytes].concat();
+        prop_assert!(decode::<Frame>(&twice).is_err());
+    }
+
+    #[test]
+    fn greetings_round_trip(
+        name in ".{0,70}", zone in ".{0,70}", id: u64, incarnation: u64, nonce: u128,
+        version: u32, is_entry: bool, is_control: bool, mac in vec(any::<u8>(), 0..80),
+    ) {
+        let id = Id(id);
+        let hello = Hello { version, name, zone, id, incarnation, is_entry, is_control };
+        let greeting = Greeting { hello, nonce };
+        prop_assert_eq!(decode::<Greeting>(&encode(&greeting)).expect("is valid"), greeting);
+        let proof = Proof { mac };
+        prop_assert_eq!(decode::<Proof>(&encode(&proof)).expect("is valid"), proof);
+    }
+
+    #[test]
+    fn arbitrary_bytes_give_an_error(bytes in vec(any::<u8>(), 0..300)) {
+        check(&bytes)?;
+    }
+
+    #[test]
+    fn mutated_frames_give_an_error(
+        frame in frame(), changes in vec((any::<Index>(), any::<u8>()), 1..6),
+    ) {
+        let mut bytes = encode(&frame);
+        for (at, byte) in changes {
+            let at = at.index(bytes.len());
+            bytes[at] = byte;
+        }
+        check(&bytes)?;
+    }
+
+    // Heads that announce far more than follows must not reserve it.
+    #[test]
+    fn announced_lengths_are_not_believed(major in 2..6u8, length: u64, depth in 0..5_000usize) {
+        let mut bytes = vec![(major << 5) | 27];
+        bytes.extend_from_slice(&length.to_be_bytes());
+        check(&bytes)?;
+        check(&[vec![0x81; depth], bytes].concat())?;
+    }
+}
--- a/tests/support/raw.rs
+++ b/tests/support/raw.rs
@@ -67,7 +67,8 @@
         }
     };
     let ended = tokio::time::timeout(super::PATIENCE, read).await;
-    assert!(ended.is_ok(), "the connection stays open: {}", String::from_utf8_lossy(&answer));
+    let sent = String::from_utf8_lossy(&bytes[..bytes.len().min(200)]);
+    assert!(ended.is_ok(), "the connection stays open after {sent:?}");
     Reply::parse(&answer)
 }
 
