--- a/tests/contract_operator.rs
+++ b/tests/contract_operator.rs
@@ -31,6 +31,8 @@
 
 const PUT: &str = "PUT /v1/config";
 const FULL: &[&str] = &[OPERATOR, "if-match: 1", "eelgrassvalve-request-id: r"];
+const SECOND: &[&str] = &[OPERATOR, "if-match: 1", "eelgrassvalve-request-id: r2"];
+const THIRD: &[&str] = &[OPERATOR, "if-match: 1", "eelgrassvalve-request-id: r3"];
 
 fn config_rows() -> Vec<Row> {
     let bad = (400, "bad_request");
@@ -51,8 +53,11 @@
         row(PUT, FULL, r#"{"claims":{"capacity":-1}}"#, bad),
         row(PUT, FULL, r#"{"customers":[{"name":"a","colour":1}]}"#, bad),
         row(PUT, FULL, r#"{"customers":[{"name":"A b"}]}"#, unsatisfiable),
-        row(PUT, FULL, r#"{"customers":[{"name":"a"},{"name":"a"}]}"#, unsatisfiable),
-        row(PUT, FULL, r#"{"placement":{"policy":"none"}}"#, unsatisfiable),
+        // A resend gets the first outcome; the id can't be used for another document.
+        row(PUT, FULL, r#"{"customers":[{"name":"A b"}]}"#, unsatisfiable),
+        row(PUT, FULL, "{}", (422, "key_reused")),
+        row(PUT, SECOND, r#"{"customers":[{"name":"a"},{"name":"a"}]}"#, unsatisfiable),
+        row(PUT, THIRD, r#"{"placement":{"policy":"none"}}"#, unsatisfiable),
         row(PUT, FULL, vec![b' '; (4 << 20) + 1], (413, "too_large")),
     ];
     for line in [PUT, "POST /v1/config/check"] {
