--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -24,8 +24,16 @@
 const QUEUE: usize = 8_192;
 /// Inputs that share one sync.
 const BATCH: usize = 512;
-/// Longest wait for a read or a hand-over.
+/// Proposals that wait to be committed.
+const PLACED: usize = 16_384;
+/// Longest wait for a read.
 const READ: Duration = Duration::from_secs(2);
+/// Longest wait for one transfer of leadership.
+const HAND_OVER: Duration = Duration::from_secs(2);
+/// Transfers tried before a leader stops without one.
+const HAND_OVERS: usize = 3;
+/// Between updates of what operators see, in milliseconds.
+const PUBLISH_MS: u64 = 1_000;
 
 /// Role and leader, as last seen.
 #[derive(Clone, Debug, Default)]
@@ -49,6 +57,7 @@
     Change { change: Change, done: oneshot::Sender<Result<Reply>> },
     Read { done: oneshot::Sender<Result<Reply>> },
     Message { from: Id, message: Message },
+    Compact { index: u64, data: Vec<u8> },
     Transfer,
 }
 
@@ -91,6 +100,8 @@
             placed: BTreeMap::new(),
             reads: Vec::new(),
             applied: 0,
+            compacting: false,
+            requests: requests.clone(),
         };
         let tick = Duration::from_millis((timing.heartbeat_ms / 4).max(5));
         let named = std::thread::Builder::new().name("replica".into());
@@ -145,12 +156,16 @@
 
     /// Asks for a transfer and waits until this member does not lead.
     pub async fn hand_over(&self) {
-        if !self.standing().leads {
-            return;
-        }
-        let _ = self.requests.try_send(Request::Transfer);
         let mut standing = self.standing.clone();
-        let _ = tokio::time::timeout(READ, standing.wait_for(|s| !s.leads)).await;
+        for _ in 0..HAND_OVERS {
+            let now = self.standing();
+            let others = now.members.iter().filter(|member| member.is_voter).count() > 1;
+            if !now.leads || !others {
+                return;
+            }
+            let _ = self.requests.try_send(Request::Transfer);
+            let _ = tokio::time::timeout(HAND_OVER, standing.wait_for(|s| !s.leads)).await;
+        }
     }
 
     fn ask(&self, request: Request) -> Result<()> {
@@ -191,13 +206,16 @@
     // Readable once this index is applied.
     reads: Vec<(u64, oneshot::Sender<Result<Reply>>)>,
     applied: u64,
+    // Whether the machine is being encoded.
+    compacting: bool,
+    requests: SyncSender<Request>,
 }
 
 impl Driver {
     fn run(mut self, receiver: &Receiver<Request>, tick: Duration) {
         self.applied = self.replica.commit();
         self.publish();
-        let mut ticked_ms = 0;
+        let (mut ticked_ms, mut published_ms) = (0, 0);
         loop {
             let mut effects = Vec::new();
             match receiver.recv_timeout(tick) {
@@ -213,6 +231,10 @@
                 ticked_ms = now_ms;
                 effects.extend(self.replica.step(Input::Tick, now_ms));
             }
+            if now_ms >= published_ms + PUBLISH_MS {
+                published_ms = now_ms;
+                self.publish();
+            }
             if let Err(error) = self.perform(effects) {
                 // What was not synced must never be acknowledged.
                 tracing::error!(%error, "the data folder failed; stopping");
@@ -224,6 +246,11 @@
     fn take(&mut self, request: Request, effects: &mut Vec<Effect>) {
         let now_ms = self.timer.now_ms();
         let input = match request {
+            Request::Propose { done, .. } if self.placed.len() >= PLACED => {
+                let message = "too many changes wait to be committed";
+                let _ = done.send(Err(Error::not_run(Code::OverLimit, message)));
+                return;
+            }
             Request::Propose { command, done } => {
                 let stamped = Stamped { at_ms: wall_ms(), command: *command };
                 Input::Propose { token: self.ask(done), command: encode(&stamped) }
@@ -231,6 +258,10 @@
             Request::Change { change, done } => Input::Change { token: self.ask(done), change },
             Request::Read { done } => Input::Read { token: self.ask(done) },
             Request::Message { from, message } => Input::Message { from, message },
+            Request::Compact { index, data } => {
+                self.compacting = false;
+                Input::Compact { index, data }
+            }
             Request::Transfer => Input::Transfer,
         };
         effects.extend(self.replica.step(input, now_ms));
@@ -258,18 +289,28 @@
             }
             queue = next;
         }
-        if self.store.log_bytes() > self.log_bytes
-            && self.applied > self.replica.log().snapshot().index
-        {
-            let data = encode(&*self.machine.lock());
-            let input = Input::Compact { index: self.applied, data };
-            let now_ms = self.timer.now_ms();
-            let effects = self.replica.step(input, now_ms);
-            self.persist(&effects)?;
-        }
+        self.start_compaction();
         Ok(())
     }
 
+    // A large machine takes longer to encode than followers wait for a heartbeat.
+    fn start_compaction(&mut self) {
+        let index = self.applied;
+        let due = self.store.log_bytes() > self.log_bytes;
+        if self.compacting || !due || index <= self.replica.log().snapshot().index {
+            return;
+        }
+        self.compacting = true;
+        let machine = self.machine.lock().clone();
+        let requests = self.requests.clone();
+        let encoded = move || {
+            // The thread may be gone where the daemon stops.
+            let _ = requests.send(Request::Compact { index, data: encode(&machine) });
+        };
+        let named = std::thread::Builder::new().name("snapshot".into());
+        named.spawn(encoded).expect("a thread can be started");
+    }
+
     fn persist(&mut self, effects: &[Effect]) -> store::Result<Option<(u64, u64)>> {
         let mut last = None;
         for effect in effects {
@@ -304,6 +345,9 @@
                 if reset {
                     restore(&self.machine, &snapshot.data.0);
                     self.applied = snapshot.index;
+                    self.forget_placed();
+                    self.answer_reads();
+                    self.publish();
                 }
             }
             Effect::Send { to, message } => self.mesh.send_replica(to, message),
@@ -334,6 +378,15 @@
         }
     }
 
+    // A snapshot does not tell which proposals it covers.
+    fn forget_placed(&mut self) {
+        let later = self.placed.split_off(&(self.applied + 1));
+        for (_, (_, done)) in std::mem::replace(&mut self.placed, later) {
+            let message = "the change may be part of a snapshot of another leader";
+            let _ = done.send(Err(Error::may_have_run(Code::NotLeader, message)));
+        }
+    }
+
     fn apply(&mut self, entries: Vec<Entry>) {
         for entry in entries {
             let reply = match &entry.payload {
--- a/src/replica/store.rs
+++ b/src/replica/store.rs
@@ -1,25 +1,34 @@
 //! The data folder: identity, vote, log segments and snapshot.
+//!
+//! Every change is one of two kinds: an append to the last segment, or a small file replaced as a
+//! whole (written aside, synced, renamed, folder synced).
+
+pub mod disk;
+mod record;
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Write};
+use std::io;
 use std::path::{Path, PathBuf};
 
 use derive_more::{Display, Error};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 use super::member::{Id, Members};
 use super::{Entry, Saved, Snapshot, Vote};
+use disk::{Disk, System};
+use record::{Fault, Record};
 
 /// Result of using the data folder.
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Bytes after which a new segment begins.
 const SEGMENT_BYTES: u64 = 4 << 20;
-/// Length and checksum before each record.
-const HEADER_BYTES: usize = 8;
-/// Longest record that is believed.
-const RECORD_BYTES: usize = 256 << 20;
+const IDENTITY: &str = "identity";
+const VOTE: &str = "vote";
+const SNAPSHOT: &str = "snapshot";
+const SEGMENT: &str = "log-";
+const ASIDE: &str = ".new";
 
 /// A fault of the data folder.
 #[derive(Debug, Display, Error)]
@@ -39,7 +48,11 @@
         path: PathBuf,
     },
     /// Synced data can't be read back.
-    #[display("{} at byte {offset}: {detail}; this member's state is lost: move the folder away, start it empty and replace the member", path.display())]
+    #[display(
+        "{} at byte {offset}: {detail}; synced state of this member is lost: stop it, move the \
+         data folder away, start it with an empty one, add the new member and remove the old one",
+        path.display()
+    )]
     Corrupt {
         /// File.
         path: PathBuf,
@@ -54,6 +67,12 @@
         /// Folder.
         path: PathBuf,
     },
+    /// An earlier operation failed, so what the folder holds is unknown.
+    #[display("{}: not used after a failed write or sync", path.display())]
+    Failed {
+        /// Folder.
+        path: PathBuf,
+    },
 }
 
 /// An open data folder.
@@ -62,15 +81,27 @@
     folder: PathBuf,
     id: Id,
     _lock: File,
+    disk: Box<dyn Disk>,
     segment: Option<Segment>,
     written: u64,
+    failed: bool,
 }
 
 #[derive(Debug)]
 struct Segment {
+    number: u64,
     path: PathBuf,
     file: File,
     bytes: u64,
+    synced: u64,
+}
+
+/// Content of the snapshot file: naming the first segment makes its rename the one switch point.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Kept<S> {
+    snapshot: S,
+    // Segments of a lower number are left over.
+    first_segment: u64,
 }
 
 impl Store {
@@ -79,17 +110,26 @@
     /// # Errors
     /// Where the folder is in use, can't be read, or holds corrupt data.
     pub fn open(folder: &Path) -> Result<(Self, Saved)> {
+        Self::open_on(folder, Box::new(System))
+    }
+
+    /// As [`Store::open`], on a given disk.
+    ///
+    /// # Errors
+    /// As for [`Store::open`].
+    pub fn open_on(folder: &Path, disk: Box<dyn Disk>) -> Result<(Self, Saved)> {
         fs::create_dir_all(folder).map_err(|e| io_error(folder, e))?;
         let lock = lock(folder)?;
-        let id = match read_record::<Id>(&folder.join("identity"))? {
-            Some(id) => id,
-            None => {
-                let id = Id(rand::random());
-                replace(folder, "identity", &id)?;
-                id
-            }
+        let mut store = Self {
+            folder: folder.into(),
+            id: Id(0),
+            _lock: lock,
+            disk,
+            segment: None,
+            written: 0,
+            failed: false,
         };
-        let mut store = Self { folder: folder.into(), id, _lock: lock, segment: None, written: 0 };
+        store.id = store.identity()?;
         let saved = store.load()?;
         Ok((store, saved))
     }
@@ -99,15 +139,15 @@
     /// # Errors
     /// [`Error::NotEmpty`] where the folder holds a member already.
     pub fn bootstrap(folder: &Path, name: &str) -> Result<Id> {
-        let (store, saved) = Self::open(folder)?;
+        let (mut store, saved) = Self::open(folder)?;
         let used = saved.vote != Vote::default() || saved.snapshot.index > 0;
         if used || !saved.entries.is_empty() {
             return Err(Error::NotEmpty { path: folder.into() });
         }
         let mut members = Members::default();
         members.voters.insert(store.id, name.into());
-        let snapshot = Snapshot { index: 1, term: 1, members, ..Snapshot::default() };
-        replace(folder, "snapshot", &snapshot)?;
+        let snapshot = Snapshot { index: 1, members, ..Snapshot::default() };
+        store.replace(SNAPSHOT, &Kept { snapshot, first_segment: 0 })?;
         Ok(store.id)
     }
 
@@ -126,7 +166,7 @@
     /// # Errors
     /// Any failure is final: the process must stop.
     pub fn save_vote(&mut self, vote: Vote) -> Result<()> {
-        replace(&self.folder, "vote", &vote)
+        self.attempt(|store| store.replace(VOTE, &vote))
     }
 
     /// Writes entries; [`Store::sync`] makes them last.
@@ -134,21 +174,10 @@
     /// # Errors
     /// Any failure is final: the process must stop.
     pub fn append(&mut self, entries: &[Entry]) -> Result<()> {
-        let mut buffer = Vec::new();
-        for entry in entries {
-            push_record(&mut buffer, entry);
-        }
-        let Some(first) = entries.first() else { return Ok(()) };
-        let full = self.segment.as_ref().is_none_or(|segment| segment.bytes >= SEGMENT_BYTES);
-        if full {
-            self.sync()?;
-            self.segment = Some(self.create_segment(first.index)?);
+        if entries.is_empty() {
+            return Ok(());
         }
-        let Some(segment) = &mut self.segment else { return Ok(()) };
-        segment.file.write_all(&buffer).map_err(|e| io_error(&segment.path, e))?;
-        segment.bytes += buffer.len() as u64;
-        self.written += buffer.len() as u64;
-        Ok(())
+        self.attempt(|store| store.write_entries(entries))
     }
 
     /// Makes everything written so far last.
@@ -156,43 +185,95 @@
     /// # Errors
     /// Any failure is final: the process must stop.
     pub fn sync(&mut self) -> Result<()> {
-        let Some(segment) = &self.segment else { return Ok(()) };
-        segment.file.sync_data().map_err(|e| io_error(&segment.path, e))
+        self.attempt(Self::sync_segment)
     }
 
-    /// Persists a snapshot, synced, and drops the log that it covers.
+    /// Persists a snapshot and the entries to keep after it, synced; the rest of the log goes.
     ///
     /// # Errors
     /// Any failure is final: the process must stop.
     pub fn save_snapshot(&mut self, snapshot: &Snapshot, keep: &[Entry]) -> Result<()> {
-        replace(&self.folder, "snapshot", snapshot)?;
-        let old = self.segments()?;
-        self.segment = None;
-        self.written = 0;
-        // Entries after the snapshot move to a new segment before the old ones go.
-        let next = self.next_segment_number(&old);
-        self.segment = Some(self.create_segment(next)?);
-        self.append(keep)?;
-        self.sync()?;
-        for (_, path) in old {
-            fs::remove_file(&path).map_err(|e| io_error(&path, e))?;
+        self.attempt(|store| store.write_snapshot(snapshot, keep))
+    }
+
+    // After a failed sync the kernel may have dropped the dirty pages: no later sync proves them.
+    fn attempt<T>(&mut self, act: impl FnOnce(&mut Self) -> Result<T>) -> Result<T> {
+        if self.failed {
+            return Err(Error::Failed { path: self.folder.clone() });
+        }
+        let done = act(self);
+        self.failed = done.is_err();
+        done
+    }
+
+    fn identity(&mut self) -> Result<Id> {
+        let path = self.folder.join(IDENTITY);
+        if let Some(id) = read_file::<Id>(&path)? {
+            return Ok(id);
+        }
+        let held = [VOTE, SNAPSHOT].iter().any(|name| self.folder.join(name).exists());
+        if held || !self.segments()?.is_empty() {
+            return Err(corrupt(&path, 0, "the identity is missing, but other files are there"));
+        }
+        let id = Id(rand::random());
+        self.replace(IDENTITY, &id)?;
+        Ok(id)
+    }
+
+    fn write_entries(&mut self, entries: &[Entry]) -> Result<()> {
+        let full = self.segment.as_ref().is_none_or(|segment| segment.bytes >= SEGMENT_BYTES);
+        if full {
+            self.next_segment()?;
+        }
+        let Some(segment) = &mut self.segment else { return Ok(()) };
+        let mut buffer = Vec::new();
+        for entry in entries {
+            record::push(&mut buffer, segment.synced, entry);
         }
-        sync_folder(&self.folder)
+        let written = self.disk.write(&mut segment.file, &segment.path, &buffer);
+        written.map_err(|e| io_error(&segment.path, e))?;
+        segment.bytes += buffer.len() as u64;
+        self.written += buffer.len() as u64;
+        Ok(())
     }
 
-    fn next_segment_number(&self, old: &[(u64, PathBuf)]) -> u64 {
-        old.last().map_or(1, |(number, _)| number + 1)
+    fn sync_segment(&mut self) -> Result<()> {
+        let Some(segment) = &mut self.segment else { return Ok(()) };
+        if segment.synced == segment.bytes {
+            return Ok(());
+        }
+        let synced = self.disk.sync(&segment.file, &segment.path);
+        synced.map_err(|e| io_error(&segment.path, e))?;
+        segment.synced = segment.bytes;
+        Ok(())
     }
 
-    fn create_segment(&self, first: u64) -> Result<Segment> {
+    fn write_snapshot(&mut self, snapshot: &Snapshot, keep: &[Entry]) -> Result<()> {
         let old = self.segments()?;
-        let number = first.max(self.next_segment_number(&old));
-        let path = self.folder.join(format!("log-{number:020}"));
-        let mut options = OpenOptions::new();
-        let opened = options.append(true).create_new(true).open(&path);
-        let file = opened.map_err(|e| io_error(&path, e))?;
-        sync_folder(&self.folder)?;
-        Ok(Segment { path, file, bytes: 0 })
+        self.next_segment()?;
+        self.written = 0;
+        // Entries after the snapshot stand in the new segment before the old ones lose force.
+        if !keep.is_empty() {
+            self.write_entries(keep)?;
+            self.sync_segment()?;
+        }
+        let first_segment = self.segment.as_ref().map_or(0, |segment| segment.number);
+        self.replace(SNAPSHOT, &Kept { snapshot, first_segment })?;
+        for (_, path) in old {
+            self.remove(&path)?;
+        }
+        self.sync_folder()
+    }
+
+    // Only the last segment may be torn, so the one before it is synced first.
+    fn next_segment(&mut self) -> Result<()> {
+        self.sync_segment()?;
+        let number = self.segments()?.last().map_or(1, |(number, _)| number + 1);
+        let path = self.folder.join(format!("{SEGMENT}{number:020}"));
+        let file = self.disk.create(&path).map_err(|e| io_error(&path, e))?;
+        self.sync_folder()?;
+        self.segment = Some(Segment { number, path, file, bytes: 0, synced: 0 });
+        Ok(())
     }
 
     fn segments(&self) -> Result<Vec<(u64, PathBuf)>> {
@@ -201,7 +282,7 @@
         for item in listing {
             let path = item.map_err(|e| io_error(&self.folder, e))?.path();
             let name = path.file_name().and_then(|name| name.to_str()).unwrap_or("");
-            let Some(digits) = name.strip_prefix("log-") else { continue };
+            let Some(digits) = name.strip_prefix(SEGMENT) else { continue };
             let Ok(number) = digits.parse() else { continue };
             found.push((number, path));
         }
@@ -210,33 +291,116 @@
     }
 
     fn load(&mut self) -> Result<Saved> {
-        let vote = read_record(&self.folder.join("vote"))?.unwrap_or_default();
-        let snapshot: Snapshot = read_record(&self.folder.join("snapshot"))?.unwrap_or_default();
-        let mut entries: Vec<Entry> = Vec::new();
+        let vote: Vote = read_file(&self.folder.join(VOTE))?.unwrap_or_default();
+        let kept: Option<Kept<Snapshot>> = read_file(&self.folder.join(SNAPSHOT))?;
+        let Kept { snapshot, first_segment } = kept.unwrap_or_default();
+        self.remove_leftovers(first_segment)?;
         let segments = self.segments()?;
+        let mut entries: Vec<Entry> = Vec::new();
         for (at, (_, path)) in segments.iter().enumerate() {
-            let last = at + 1 == segments.len();
-            for entry in read_segment(path, last)? {
-                if entry.index <= snapshot.index {
-                    continue;
-                }
-                let keep = (entry.index - snapshot.index - 1) as usize;
-                if keep > entries.len() {
-                    let detail = format!("entry {} follows a gap", entry.index);
-                    return Err(Error::Corrupt { path: path.clone(), offset: 0, detail });
-                }
-                entries.truncate(keep);
-                entries.push(entry);
+            let is_last = at + 1 == segments.len();
+            for entry in self.read_segment(path, is_last)? {
+                take_entry(&mut entries, entry, &snapshot, path)?;
             }
         }
-        if let Some((_, path)) = segments.last() {
-            let file = OpenOptions::new().append(true).open(path).map_err(|e| io_error(path, e))?;
-            let bytes = file.metadata().map_err(|e| io_error(path, e))?.len();
-            self.written = bytes;
-            self.segment = Some(Segment { path: path.clone(), file, bytes });
+        let last_term = entries.last().map_or(snapshot.term, |entry| entry.term);
+        if last_term > vote.term {
+            let path = self.folder.join(VOTE);
+            return Err(corrupt(&path, 0, "term and vote are missing or older than the log"));
+        }
+        if let Some((number, path)) = segments.last() {
+            self.reopen(*number, path)?;
         }
         Ok(Saved { vote, snapshot, entries })
     }
+
+    // A process that died may have left bytes that were written but never synced.
+    fn reopen(&mut self, number: u64, path: &Path) -> Result<()> {
+        let opened = OpenOptions::new().append(true).open(path);
+        let file = opened.map_err(|e| io_error(path, e))?;
+        let bytes = file.metadata().map_err(|e| io_error(path, e))?.len();
+        self.disk.sync(&file, path).map_err(|e| io_error(path, e))?;
+        self.written = bytes;
+        self.segment = Some(Segment { number, path: path.into(), file, bytes, synced: bytes });
+        Ok(())
+    }
+
+    fn remove_leftovers(&mut self, first_segment: u64) -> Result<()> {
+        for (number, path) in self.segments()? {
+            if number < first_segment {
+                self.remove(&path)?;
+            }
+        }
+        for name in [IDENTITY, VOTE, SNAPSHOT] {
+            let aside = self.folder.join(format!("{name}{ASIDE}"));
+            if aside.exists() {
+                self.remove(&aside)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn read_segment(&mut self, path: &Path, is_last: bool) -> Result<Vec<Entry>> {
+        let bytes = fs::read(path).map_err(|e| io_error(path, e))?;
+        let mut entries = Vec::new();
+        let mut offset = 0;
+        while offset < bytes.len() {
+            if let Some(record) = Record::take(&bytes[offset..]) {
+                let entry = record.decode();
+                let detail = "an entry of another version";
+                entries.push(entry.ok_or_else(|| corrupt(path, offset, detail))?);
+                offset += record.length;
+                continue;
+            }
+            if !is_last || record::judge(&bytes, offset) == Fault::Damaged {
+                return Err(corrupt(path, offset, "checksum does not match"));
+            }
+            tracing::warn!(path = %path.display(), offset, end = bytes.len(), "torn tail cut");
+            cut(path, offset as u64)?;
+            break;
+        }
+        Ok(entries)
+    }
+
+    // Replaces a small file as a whole.
+    fn replace<T: Serialize>(&mut self, name: &str, value: &T) -> Result<()> {
+        let mut buffer = Vec::new();
+        record::push(&mut buffer, 0, value);
+        let aside = self.folder.join(format!("{name}{ASIDE}"));
+        let mut file = self.disk.create(&aside).map_err(|e| io_error(&aside, e))?;
+        self.disk.write(&mut file, &aside, &buffer).map_err(|e| io_error(&aside, e))?;
+        self.disk.sync(&file, &aside).map_err(|e| io_error(&aside, e))?;
+        let path = self.folder.join(name);
+        self.disk.rename(&aside, &path).map_err(|e| io_error(&aside, e))?;
+        self.sync_folder()
+    }
+
+    fn remove(&mut self, path: &Path) -> Result<()> {
+        self.disk.remove(path).map_err(|e| io_error(path, e))
+    }
+
+    fn sync_folder(&mut self) -> Result<()> {
+        self.disk.sync_folder(&self.folder).map_err(|e| io_error(&self.folder, e))
+    }
+}
+
+// A later entry of the same index and another term replaces the earlier ones from there on.
+fn take_entry(log: &mut Vec<Entry>, entry: Entry, snapshot: &Snapshot, path: &Path) -> Result<()> {
+    if entry.index <= snapshot.index {
+        return Ok(());
+    }
+    let keep = (entry.index - snapshot.index - 1) as usize;
+    if keep > log.len() {
+        let detail = format!("entry {} follows a gap", entry.index);
+        return Err(corrupt(path, 0, &detail));
+    }
+    // Entries kept beside a snapshot were written twice; what follows the first copy stays.
+    if log.get(keep).is_some_and(|held| held.term == entry.term) {
+        return Ok(());
+    }
+    log.truncate(keep);
+    log.push(entry);
+    Ok(())
 }
 
 fn lock(folder: &Path) -> Result<File> {
@@ -254,56 +418,8 @@
     Error::Io { path: path.into(), source }
 }
 
-fn sync_folder(folder: &Path) -> Result<()> {
-    let synced = File::open(folder).and_then(|file| file.sync_all());
-    synced.map_err(|e| io_error(folder, e))
-}
-
-fn push_record<T: Serialize>(buffer: &mut Vec<u8>, value: &T) {
-    let start = buffer.len();
-    buffer.extend_from_slice(&[0; HEADER_BYTES]);
-    ciborium::into_writer(value, &mut *buffer).expect("a record encodes into memory");
-    let body = &buffer[start + HEADER_BYTES..];
-    let length = (body.len() as u32).to_le_bytes();
-    let sum = crc32fast::hash(body).to_le_bytes();
-    buffer[start..start + 4].copy_from_slice(&length);
-    buffer[start + 4..start + HEADER_BYTES].copy_from_slice(&sum);
-}
-
-// A record and the bytes it took; `None` where the bytes hold no whole record.
-fn take_record<T: DeserializeOwned>(bytes: &[u8]) -> Option<(T, usize)> {
-    let header = bytes.get(..HEADER_BYTES)?;
-    let length = u32::from_le_bytes(header[..4].try_into().ok()?) as usize;
-    let sum = u32::from_le_bytes(header[4..].try_into().ok()?);
-    if length > RECORD_BYTES {
-        return None;
-    }
-    let end = HEADER_BYTES + length;
-    let body = bytes.get(HEADER_BYTES..end)?;
-    if crc32fast::hash(body) != sum {
-        return None;
-    }
-    Some((ciborium::from_reader(body).ok()?, end))
-}
-
-fn read_segment(path: &Path, last: bool) -> Result<Vec<Entry>> {
-    let bytes = fs::read(path).map_err(|e| io_error(path, e))?;
-    let mut entries = Vec::new();
-    let mut offset = 0;
-    while offset < bytes.len() {
-        if let Some((entry, taken)) = take_record(&bytes[offset..]) {
-            entries.push(entry);
-            offset += taken;
-            continue;
-        }
-        if !last {
-            let detail = "checksum does not match".into();
-            return Err(Error::Corrupt { path: path.into(), offset: offset as u64, detail });
-        }
-        cut(path, offset as u64)?;
-        break;
-    }
-    Ok(entries)
+fn corrupt(path: &Path, offset: usize, detail: &str) -> Error {
+    Error::Corrupt { path: path.into(), offset: offset as u64, detail: detail.into() }
 }
 
 fn cut(path: &Path, length: u64) -> Result<()> {
@@ -313,31 +429,13 @@
     done.map_err(|e| io_error(path, e))
 }
 
-fn read_record<T: DeserializeOwned>(path: &Path) -> Result<Option<T>> {
-    let mut file = match File::open(path) {
-        Ok(file) => file,
+fn read_file<T: DeserializeOwned>(path: &Path) -> Result<Option<T>> {
+    let bytes = match fs::read(path) {
+        Ok(bytes) => bytes,
         Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
         Err(e) => return Err(io_error(path, e)),
     };
-    let mut bytes = Vec::new();
-    file.read_to_end(&mut bytes).map_err(|e| io_error(path, e))?;
-    match take_record(&bytes) {
-        Some((value, taken)) if taken == bytes.len() => Ok(Some(value)),
-        _ => {
-            let detail = "checksum does not match".into();
-            Err(Error::Corrupt { path: path.into(), offset: 0, detail })
-        }
-    }
-}
-
-// Replaces a small file as a whole: write aside, sync, rename, sync the folder.
-fn replace<T: Serialize>(folder: &Path, name: &str, value: &T) -> Result<()> {
-    let mut buffer = Vec::new();
-    push_record(&mut buffer, value);
-    let aside = folder.join(format!("{name}.new"));
-    let mut file = File::create(&aside).map_err(|e| io_error(&aside, e))?;
-    file.write_all(&buffer).map_err(|e| io_error(&aside, e))?;
-    file.sync_all().map_err(|e| io_error(&aside, e))?;
-    fs::rename(&aside, folder.join(name)).map_err(|e| io_error(&aside, e))?;
-    sync_folder(folder)
+    let record = Record::take(&bytes).filter(|record| record.length == bytes.len());
+    let value = record.and_then(|record| record.decode());
+    value.map(Some).ok_or_else(|| corrupt(path, 0, "checksum does not match"))
 }
--- a/tests/fault_replica.rs
+++ b/tests/fault_replica.rs
@@ -5,8 +5,8 @@
 #[path = "support/schedule.rs"]
 mod schedule;
 
-use eelgrassvalve::replica::member::{Change, Id};
-use eelgrassvalve::replica::{Input, Replica, Saved};
+use eelgrassvalve::replica::member::{Change, Id, Members};
+use eelgrassvalve::replica::{Body, Input, Message, Replica, Saved, Snapshot};
 use rstest::rstest;
 use schedule::{Faults, Network, TIMING};
 
@@ -226,3 +226,46 @@
     network.run(500);
     assert!(!network.members().is_voter(id));
 }
+
+#[test]
+fn a_member_that_alone_misses_the_leader_deposes_nobody() {
+    let (mut network, leader) = quiet(3, 3);
+    let before = term(&network, leader);
+    network.cut(leader, (leader + 1) % 3, 3_000);
+    network.run(3_000);
+    assert_eq!((network.leader(), term(&network, leader)), (Some(leader), before));
+}
+
+#[test]
+fn a_campaign_that_outlives_its_transfer_voids_the_lease() {
+    let (mut network, leader) = quiet(3, 3);
+    network.campaign_delay_ms = TIMING.election_ms * 2;
+    network.input(leader, Input::Transfer);
+    network.run(TIMING.election_ms * 2 - 5);
+    assert_eq!(network.leader(), Some(leader));
+    network.isolate(leader, 1_000);
+    assert!(network.run_until(50, |network| network.leader().is_some_and(|at| at != leader)));
+    let next = network.leader().expect("leads");
+    let value = network.propose(next);
+    assert!(network.run_until(50, |network| network.acked.contains(&value)));
+    // The network checks that no read misses what was acknowledged before it.
+    assert!(network.hosts[leader].replica.as_ref().expect("runs").leads());
+    network.read(leader);
+    assert!(network.run_until(1_000, |network| network.refused_reads == 1));
+}
+
+#[test]
+fn a_new_leader_trusts_no_lease_before_a_quorum_answered_it() {
+    let mut members = Members::default();
+    for id in 1..=3 {
+        members.voters.insert(Id(id), format!("host-{id}"));
+    }
+    let snapshot = Snapshot { index: 1, members, ..Snapshot::default() };
+    let saved = Saved { snapshot, ..Saved::default() };
+    let mut replica = Replica::new(Id(1), TIMING, saved, 1, 0);
+    let message = Message { term: 0, body: Body::Campaign };
+    replica.step(Input::Message { from: Id(2), message }, 1);
+    let message = Message { term: 1, body: Body::Answer { pre: false, granted: true } };
+    replica.step(Input::Message { from: Id(2), message }, 2);
+    assert!(replica.leads() && !replica.holds_lease());
+}
--- a/tests/support/schedule.rs
+++ b/tests/support/schedule.rs
@@ -6,7 +6,7 @@
 
 use eelgrassvalve::replica::member::{Change, Id, Members};
 use eelgrassvalve::replica::{
-    Effect, Entry, Input, Message, Payload, Refusal, Replica, Saved, Snapshot, Timing,
+    Body, Effect, Entry, Input, Message, Payload, Refusal, Replica, Saved, Snapshot, Timing,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -71,6 +71,8 @@
     pub hosts: Vec<Host>,
     /// Faults in force.
     pub faults: Faults,
+    /// Extra delay of a message that asks a member to campaign, in milliseconds.
+    pub campaign_delay_ms: u64,
     /// Values that were acknowledged.
     pub acked: BTreeSet<u64>,
     /// Reads that were answered.
@@ -101,6 +103,7 @@
         let mut network = Self {
             hosts: Vec::new(),
             faults: Faults::default(),
+            campaign_delay_ms: 0,
             acked: BTreeSet::new(),
             reads: 0,
             refused_reads: 0,
@@ -388,7 +391,10 @@
         }
         let copies = 1 + u32::from(self.chance(self.faults.duplication));
         for _ in 0..copies {
-            let delay_ms = 1 + self.rng.random_range(0..=self.faults.delay_ms);
+            let mut delay_ms = 1 + self.rng.random_range(0..=self.faults.delay_ms);
+            if message.body == Body::Campaign {
+                delay_ms += self.campaign_delay_ms;
+            }
             let key = (self.now_ms + delay_ms, self.token());
             self.flights.insert(key, Flight { from, to, message: message.clone() });
         }
