Histories under faults; in force counts the version that came with each lease

Cause: an entry that is heard but hears nothing renewed for ever, so the leader counted it as alive with the old version and no change came in force while it lasted.

Each lease is now noted with the version that came with it, under the machine's lock, so that a change is in force once the last lease under an older version ran out. Noting it outside the lock let a change be told in force between reading the version and noting the lease.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -5,6 +5,7 @@
 
 use super::Control;
 use crate::error::{Code, Error, Result};
+use crate::kernel::lock::{Rank, Table};
 use crate::kernel::timer::Timer;
 use crate::mesh::Mesh;
 use crate::mesh::call::{Answer, Call};
@@ -25,7 +26,7 @@
     timer: Timer,
     local: Option<Arc<Control>>,
     members: Vec<String>,
-    hint: Arc<std::sync::Mutex<Option<String>>>,
+    hint: Arc<Table<Option<String>>>,
 }
 
 impl Client {
@@ -40,7 +41,8 @@
         if local.is_some() {
             members.push(settings.name.clone());
         }
-        Self { own: settings.name.clone(), mesh, timer, local, members, hint: Arc::default() }
+        let hint = Arc::new(Table::new(Rank::Leader, None));
+        Self { own: settings.name.clone(), mesh, timer, local, members, hint }
     }
 
     /// Orders a durable change. Commands are idempotent, so they are resent until the deadline.
@@ -80,7 +82,9 @@
                 }
                 Err(error) if is_final(&error) => return Err(error),
                 Err(error) => {
-                    verdict = verdict.max(error.verdict);
+                    if call.is_durable() {
+                        verdict = verdict.max(error.verdict);
+                    }
                     self.set_hint(None);
                 }
             }
@@ -118,13 +122,11 @@
     }
 
     fn hint(&self) -> Option<String> {
-        self.hint.lock().ok().and_then(|hint| hint.clone())
+        self.hint.lock().clone()
     }
 
     fn set_hint(&self, leader: Option<String>) {
-        if let Ok(mut hint) = self.hint.lock() {
-            *hint = leader;
-        }
+        *self.hint.lock() = leader;
     }
 }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -192,17 +192,16 @@
         self.group.read().await?;
         let now_ms = self.timer.now_ms();
         let length_ms = self.settings.times.entry_lease_ms;
-        let (version, document) = {
+        let (version, document, entries) = {
+            // Held until the lease is noted: whoever waits for a later version must see it.
             let machine = self.machine.lock();
-            let newer = machine.config.version > renewal.version;
+            let version = machine.config.version;
+            let newer = version > renewal.version;
             let document = newer.then(|| Box::new(machine.config.document.clone()));
-            (machine.config.version, document)
-        };
-        let entries = {
             let mut leases = self.leases.lock();
             let until_ms = now_ms + lease::with_drift_ms(length_ms);
-            leases.grant(from, renewal, now_ms, until_ms);
-            leases.live(now_ms)
+            leases.grant(from, renewal, version, now_ms, until_ms);
+            (version, document, leases.live(now_ms))
         };
         self.fleet.lock().hear(from, &renewal.workers, now_ms);
         self.renewed.notify_waiters();
--- a/src/entry/standing.rs
+++ b/src/entry/standing.rs
@@ -62,6 +62,10 @@
             return;
         }
     };
+    if lease.version < entry.standing.lock().version {
+        tracing::warn!(version = lease.version, "lease refused: its configuration is older");
+        return;
+    }
     if entry.standing.lock().term != lease.term {
         // A new leader knows no worker yet.
         entry.polls.forget_reports();
--- a/src/kernel/lock.rs
+++ b/src/kernel/lock.rs
@@ -33,6 +33,8 @@
     Links,
     /// Calls between daemons that wait for an answer.
     Calls,
+    /// Leader as last seen by a client of the control members.
+    Leader,
 }
 
 thread_local! {
--- a/src/mesh/call.rs
+++ b/src/mesh/call.rs
@@ -66,6 +66,13 @@
     },
 }
 
+impl Call {
+    /// Whether the call orders a durable change, so that an unanswered one may have run.
+    pub fn is_durable(&self) -> bool {
+        matches!(self, Self::Propose(_) | Self::Change(_) | Self::AddMember { .. })
+    }
+}
+
 /// An entry's request for a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renewal {
--- a/tests/fault_claim.rs
+++ b/tests/fault_claim.rs
@@ -1,5 +1,9 @@
 //! Faults of claims: one row, one fault, one expected outcome.
 
+mod support;
+
+use std::time::Duration;
+
 use eelgrassvalve::error::Code;
 use eelgrassvalve::mesh::frame::{decode, encode};
 use eelgrassvalve::state::claim::{
@@ -7,7 +11,11 @@
 };
 use eelgrassvalve::state::document::Claims;
 use eelgrassvalve::verdict::Verdict;
+use http::Method;
 use rstest::rstest;
+use support::cluster::Cluster;
+use support::until;
+use support::upstream::Upstream;
 
 const START_MS: u64 = 1_000_000_000;
 const LIMITS: Claims =
@@ -254,3 +262,101 @@
     let resent = table.claim(&request(1, "c", 3), &LIMITS, again_ms + LIMITS.retention_ms);
     assert_eq!(body(resent.ok()), Some(b"x".to_vec()));
 }
+
+/// Times that make leases short against the upstream's work.
+const TIMES: &str = "[times]\nheartbeat_ms = 60\nelection_ms = 400\nentry_lease_ms = 800\n\
+                     worker_lease_ms = 800\ndrain_ms = 100\n";
+const KEY: [(&str, &str); 2] =
+    [("idempotency-key", "one key"), ("eelgrassvalve-deadline-ms", "20000")];
+
+async fn cluster() -> Cluster {
+    let mut cluster = Cluster::new(4, 3);
+    cluster.extra = TIMES.into();
+    cluster.boot().await;
+    let document = serde_json::from_value(serde_json::json!({
+        "kinds": [{ "name": "plan", "rank": 0 }],
+        "customers": [{ "name": "anyone" }],
+    }));
+    cluster.apply(0, &document.expect("is valid")).await.expect("the document is accepted");
+    cluster
+}
+
+async fn send(cluster: &Cluster, at: usize) -> Option<eelgrassvalve::client::Answer> {
+    let client = cluster.callers(at);
+    client.send(Method::POST, "/v1/requests/plan", &KEY, "payload".into()).await.ok()
+}
+
+/// The owner is lost in the middle of a request; a resend goes through another entry.
+#[rstest]
+#[case::killed(3, false)]
+#[case::killed_leader(0, false)]
+#[case::frozen(3, true)]
+#[case::frozen_leader(0, true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_owner_never_leads_to_a_second_run(#[case] owner: usize, #[case] frozen: bool) {
+    let mut cluster = cluster().await;
+    let platform: Vec<_> = cluster.hosts.iter().map(|host| host.platform()).collect();
+    let work = Duration::from_secs(3);
+    let upstream = Upstream::start("runner-1", &["plan"], work, &platform[1..3]).await;
+    let client = cluster.callers(owner);
+    let first = tokio::spawn(async move {
+        client.send(Method::POST, "/v1/requests/plan", &KEY, "payload".into()).await
+    });
+    until("the request at the upstream", || async {
+        (upstream.count("payload") == 1).then_some(())
+    })
+    .await;
+    if frozen {
+        cluster.signal(owner, "STOP");
+    } else {
+        cluster.kill(owner);
+    }
+    let resent = send(&cluster, 1).await.expect("an answer");
+    assert_eq!((resent.verdict, resent.error().code), (Some(Verdict::MayHaveRun), Code::OwnerLost));
+    if frozen {
+        // The owner returns, gets the answer and records it: the doubt ends.
+        cluster.signal(owner, "CONT");
+        let told = first.await.expect("no panic").expect("an answer");
+        assert_eq!((told.verdict, &*told.body), (Some(Verdict::Ran), &b"plan:payload"[..]));
+        until("the recorded answer", || async {
+            let again = send(&cluster, 2).await?;
+            (again.verdict == Some(Verdict::Ran) && again.body == told.body).then_some(())
+        })
+        .await;
+    } else {
+        assert!(first.await.expect("no panic").is_err());
+        cluster.spawn(owner);
+        cluster.ready(owner).await;
+        let again = send(&cluster, owner).await.expect("an answer");
+        assert_eq!(again.verdict, Some(Verdict::MayHaveRun));
+    }
+    assert_eq!(upstream.count("payload"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resend_while_the_first_send_runs_gets_its_answer() {
+    let cluster = cluster().await;
+    let platform: Vec<_> = cluster.hosts.iter().map(|host| host.platform()).collect();
+    let work = Duration::from_secs(1);
+    let upstream = Upstream::start("runner-1", &["plan"], work, &platform).await;
+    let (first, second) = tokio::join!(send(&cluster, 1), send(&cluster, 3));
+    let (first, second) = (first.expect("an answer"), second.expect("an answer"));
+    assert_eq!((first.verdict, second.verdict), (Some(Verdict::Ran), Some(Verdict::Ran)));
+    assert_eq!((&*first.body, &*second.body), (&b"plan:payload"[..], &b"plan:payload"[..]));
+    assert_eq!(upstream.count("payload"), 1);
+}
+
+/// No upstream: the claim is released, and a resend may run once there is one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_told_not_run_may_run_later() {
+    let cluster = cluster().await;
+    let headers = [("idempotency-key", "one key"), ("eelgrassvalve-deadline-ms", "200")];
+    let client = cluster.callers(1);
+    let refused = client.send(Method::POST, "/v1/requests/plan", &headers, "payload".into()).await;
+    assert_eq!(refused.expect("an answer").verdict, Some(Verdict::NotRun));
+    let platform: Vec<_> = cluster.hosts.iter().map(|host| host.platform()).collect();
+    let work = Duration::from_millis(10);
+    let upstream = Upstream::start("runner-1", &["plan"], work, &platform).await;
+    let answer = send(&cluster, 2).await.expect("an answer");
+    assert_eq!((answer.verdict, upstream.count("payload")), (Some(Verdict::Ran), 1));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code)]
 
 pub mod cluster;
+pub mod history;
+pub mod relay;
 pub mod upstream;
 pub mod worker;
 
