--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cluster;
 pub mod history;
+pub mod raw;
 pub mod relay;
 pub mod upstream;
 pub mod worker;
