--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,7 +3,9 @@
 #![allow(dead_code)]
 
 pub mod cluster;
+pub mod history;
 pub mod raw;
+pub mod relay;
 pub mod upstream;
 pub mod worker;
 
