Placement by cells: guarantees, ranks, eviction, backfill and blame

The policy `cells` packs guarantees as buddy cells over live workers, admits a document only where they pack with its spare workers lost, evicts the least lost work, reserves seats for the oldest large job, corrects run times from finished jobs and tells the job's fault from the worker's. Found by the property test: a bound on eviction searches in one round let other customers' urgent jobs keep a guarantee from being reclaimed; the bound now holds only for room outside guarantees.

--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -14,6 +14,16 @@
     heard_ms: u64,
 }
 
+fn row(report: &Report, is_open: bool) -> Worker {
+    Worker {
+        name: report.worker.clone(),
+        rack: report.rack.clone(),
+        zone: report.zone.clone(),
+        shape: report.shape,
+        is_open,
+    }
+}
+
 /// Workers by name.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -53,17 +63,16 @@
     ) -> Vec<Worker> {
         let mut workers = Vec::new();
         for report in self.live(now_ms, patience_ms) {
-            workers.push(Worker {
-                name: report.worker.clone(),
-                rack: report.rack.clone(),
-                zone: report.zone.clone(),
-                shape: report.shape,
-                is_open: records.is_open(&report.worker, wall_ms),
-            });
+            workers.push(row(report, records.is_open(&report.worker, wall_ms)));
         }
         workers
     }
 
+    /// All workers heard so far, silent ones too, sorted by name.
+    pub fn known(&self) -> Vec<Worker> {
+        self.known.values().map(|known| row(&known.report, true)).collect()
+    }
+
     /// A worker's task, as last reported.
     pub fn task(&self, worker: &str, job: &str, part: u32, epoch: u64) -> Option<&Task> {
         let known = self.known.get(worker)?;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod fleet;
+pub mod gang;
 mod group;
 mod lease;
 mod scheduler;
@@ -299,7 +300,7 @@
                 Answer::Jobs(wanted.cloned().collect())
             }
             Call::Explain { id } => Answer::Text(scheduler::explain(self, &id)),
-            Call::Check(document) => Answer::Faults(document.faults()),
+            Call::Check(document) => Answer::Faults(scheduler::faults(self, &document)),
             Call::Status => Answer::Status(Box::new(self.status())),
             Call::Workers => Answer::Workers(self.workers()),
             _ => Answer::Done,
@@ -315,7 +316,9 @@
         }
         let entries = self.leases.lock().live(now_ms);
         let standing = self.standing();
+        let risks = scheduler::risks(self, &machine);
         status::Cluster {
+            risks,
             leader: self.settings.name.clone(),
             term: standing.term,
             commit: standing.commit,
--- a/src/control/scheduler.rs
+++ b/src/control/scheduler.rs
@@ -4,14 +4,19 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::Control;
+use futures_util::future::join_all;
+
+use super::{Control, gang};
 use crate::kernel::plugin;
 use crate::kernel::timer::wall_ms;
 use crate::mesh::frame::{Frame, Notice};
-use crate::placement::report::State;
-use crate::placement::{Decision, View};
-use crate::state::Command;
-use crate::state::job::{self, Gang, Job, Next, Phase};
+use crate::placement::guarantee::{self, Risk};
+use crate::placement::order::orders_by_worker;
+use crate::placement::{Decision, View, Worker, health};
+use crate::state::document::{Document, Fault};
+use crate::state::job::{self, Phase};
+use crate::state::worker;
+use crate::state::{Command, Machine};
 use crate::telemetry::{DECISION, Metrics};
 
 /// Longest time between two rounds.
@@ -35,25 +40,35 @@
     if control.group.read().await.is_err() {
         return;
     }
-    let mut commands = follow(control);
-    commands.extend(decide(control));
-    let mut touched = BTreeSet::new();
-    for command in commands {
-        let ids = [command_id(&command).to_string()];
-        touched.extend(control.workers_of(&ids));
-        if let Err(error) = control.group.propose(Command::Job(command), super::COMMIT).await {
-            tracing::debug!(job = ids[0], %error, "decision dropped");
-            continue;
-        }
-        touched.extend(control.workers_of(&ids));
-        control.changed.notify_one();
+    // Followed and committed before the policy looks, so that it sees what has just ended.
+    let mut commands: Vec<Command> = follow(control).into_iter().map(Command::Job).collect();
+    commands.extend(suspects(control).into_iter().map(Command::Worker));
+    commit(control, commands).await;
+    let commands = decide(control).into_iter().map(Command::Job).collect();
+    commit(control, commands).await;
+}
+
+// Proposes all at once, so that they share the log's syncs, and sends the orders that follow.
+async fn commit(control: &Control, commands: Vec<Command>) {
+    if commands.is_empty() {
+        return;
     }
-    for worker in touched {
-        push_orders(control, &worker);
+    let ids: Vec<String> = commands.iter().map(|command| command_id(command).into()).collect();
+    let mut touched = control.workers_of(&ids);
+    let proposals =
+        commands.into_iter().map(|command| control.group.propose(command, super::COMMIT));
+    for (id, outcome) in ids.iter().zip(join_all(proposals).await) {
+        if let Err(error) = outcome {
+            tracing::debug!(id, %error, "decision dropped");
+        }
     }
+    touched.extend(control.workers_of(&ids));
+    control.changed.notify_one();
+    push_all(control, &touched);
 }
 
-fn command_id(command: &job::Command) -> &str {
+fn command_id(command: &Command) -> &str {
+    let Command::Job(command) = command else { return "" };
     match command {
         job::Command::Submit { id, .. }
         | job::Command::Place { id, .. }
@@ -61,6 +76,7 @@
         | job::Command::Finish { id, .. }
         | job::Command::Stop { id, .. }
         | job::Command::Stopped { id, .. }
+        | job::Command::Throttle { id, .. }
         | job::Command::Refuse { id, .. } => id,
         job::Command::Cancel { .. } => "",
     }
@@ -68,13 +84,28 @@
 
 /// Sends a worker's orders to the entry that holds its poll.
 pub(super) fn push_orders(control: &Control, worker: &str) {
-    let Some(entry) = control.fleet.lock().entry(worker).map(str::to_string) else { return };
-    let orders = control.orders(worker);
-    let notice = Notice::Orders { worker: worker.into(), orders };
-    control.deliver(&entry, notice);
+    push_all(control, &BTreeSet::from([worker.to_string()]));
+}
+
+fn push_all(control: &Control, workers: &BTreeSet<String>) {
+    let all = {
+        let machine = control.machine.lock();
+        let grace_ms = machine.config.document.placement.checkpoint_grace_ms;
+        orders_by_worker(&machine.jobs, workers, grace_ms)
+    };
+    for (worker, orders) in all {
+        let Some(entry) = control.fleet.lock().entry(&worker).map(str::to_string) else { continue };
+        control.deliver(&entry, Notice::Orders { worker, orders });
+    }
 }
 
 impl Control {
+    // Whether every worker that lives must have been heard since this member leads.
+    fn is_settled(&self) -> bool {
+        let led_ms = self.timer.now_ms().saturating_sub(self.standing().since_ms);
+        led_ms > self.patience_ms()
+    }
+
     fn deliver(&self, entry: &str, notice: Notice) {
         if entry == self.settings.name {
             self.local_notice(notice);
@@ -89,115 +120,39 @@
     let now_ms = control.timer.now_ms();
     let wall_ms = wall_ms();
     let machine = control.machine.lock();
-    let prepare_ms = machine.config.document.placement.prepare_timeout_ms;
+    let step = gang::Step {
+        placement: &machine.config.document.placement,
+        records: &machine.workers,
+        wall_ms,
+    };
+    let sight = gang::Sight {
+        now_ms,
+        wall_ms,
+        patience_ms: control.patience_ms(),
+        // A new leader waits a whole chain out before it calls a silent worker dead.
+        led_ms: now_ms.saturating_sub(control.standing().since_ms),
+    };
+    let fleet = control.fleet.lock();
     let mut commands = Vec::new();
     for job in machine.jobs.live.values() {
-        let seen = Seen::of(control, job, now_ms);
-        commands.extend(next_step(job, &seen, wall_ms, prepare_ms));
+        let seen = gang::Seen::new(&fleet, job, &sight);
+        commands.extend(step.next(job, &seen));
     }
     commands
 }
 
-/// What the workers of a gang reported of it.
-#[derive(Debug, Default)]
-struct Seen {
-    prepared: usize,
-    finished: usize,
-    stopped: usize,
-    lost: Option<String>,
-    failed: Option<String>,
-    checkpoints: Vec<String>,
-}
-
-impl Seen {
-    fn of(control: &Control, job: &Job, now_ms: u64) -> Self {
-        let mut seen = Self::default();
-        let Some(gang) = job.phase.gang() else { return seen };
-        let patience_ms = control.patience_ms();
-        // A new leader waits a whole chain out before it calls a silent worker dead.
-        let led_ms = now_ms.saturating_sub(control.standing().since_ms);
-        let fleet = control.fleet.lock();
-        for (part, placed) in gang.parts.iter().enumerate() {
-            let silent_ms = match fleet.heard_ms(&placed.worker) {
-                Some(heard_ms) => now_ms.saturating_sub(heard_ms),
-                None => led_ms,
-            };
-            if silent_ms > patience_ms && led_ms > patience_ms {
-                seen.lost = Some(placed.worker.clone());
-                seen.stopped += 1;
-                continue;
-            }
-            let task = fleet.task(&placed.worker, &job.id, part as u32, gang.epoch);
-            let Some(task) = task else { continue };
-            match task.state {
-                State::Prepared => seen.prepared += 1,
-                State::Running => {}
-                State::Finished => {
-                    seen.finished += 1;
-                    seen.stopped += 1;
-                }
-                State::Failed => {
-                    seen.failed = Some(placed.worker.clone());
-                    seen.stopped += 1;
-                }
-                State::Stopped => {
-                    seen.stopped += 1;
-                    seen.checkpoints.extend(task.checkpoint.clone());
-                    if !matches!(job.phase, Phase::Stopping { .. }) {
-                        seen.lost = Some(placed.worker.clone());
-                    }
-                }
-            }
-        }
-        seen
-    }
-}
-
-fn next_step(job: &Job, seen: &Seen, wall_ms: u64, prepare_ms: u64) -> Option<job::Command> {
-    let id = job.id.clone();
-    let parts = job.spec.parts as usize;
-    match &job.phase {
-        Phase::Preparing(gang) => {
-            let epoch = gang.epoch;
-            if seen.failed.is_some() || seen.lost.is_some() {
-                let failed_on = seen.failed.clone();
-                return Some(job::Command::Stop { id, epoch, next: Next::Wait, failed_on });
-            }
-            if seen.prepared == parts {
-                return Some(job::Command::Start { id, epoch });
-            }
-            let late = wall_ms > gang.since_ms + prepare_ms;
-            late.then_some(job::Command::Stop { id, epoch, next: Next::Wait, failed_on: None })
-        }
-        Phase::Started(gang) => started_step(job, gang, seen, parts),
-        Phase::Stopping { gang, .. } => {
-            if seen.stopped < parts {
-                return None;
-            }
-            let whole = seen.checkpoints.len() == parts;
-            let checkpoint = whole.then(|| seen.checkpoints.join(","));
-            Some(job::Command::Stopped { id, epoch: gang.epoch, checkpoint })
-        }
-        _ => None,
-    }
-}
-
-fn started_step(job: &Job, gang: &Gang, seen: &Seen, parts: usize) -> Option<job::Command> {
-    let id = job.id.clone();
-    let epoch = gang.epoch;
-    if seen.finished == parts {
-        return Some(job::Command::Finish { id, epoch });
-    }
-    if let Some(worker) = &seen.failed {
-        let failed_on = Some(worker.clone());
-        let next = match job.spec.idempotent {
-            true => Next::Wait,
-            false => Next::Fail(format!("a part failed on {worker}")),
-        };
-        return Some(job::Command::Stop { id, epoch, next, failed_on });
+/// Workers that fail whatever they are given.
+fn suspects(control: &Control) -> Vec<worker::Command> {
+    let now_ms = control.timer.now_ms();
+    let machine = control.machine.lock();
+    let placement = &machine.config.document.placement;
+    let workers = control.fleet.lock().live(now_ms, control.patience_ms()).len();
+    let found =
+        health::suspects(&machine.jobs, &machine.workers, placement, workers, machine.now_ms);
+    for command in &found {
+        tracing::info!(target: DECISION, ?command, "quarantine");
     }
-    seen.lost.as_ref()?;
-    Some(job::Command::Stop { id, epoch, next: Next::Wait, failed_on: None })
+    found
 }
 
 /// Asks the policy and logs one line for each decision.
@@ -212,6 +167,7 @@
         jobs: &machine.jobs,
         workers: &workers,
         now_ms: wall_ms(),
+        is_settled: control.is_settled(),
     };
     let mut held = control.policy.lock();
     if held.as_ref().is_none_or(|(name, _)| *name != placement.policy) {
@@ -260,8 +216,35 @@
         jobs: &machine.jobs,
         workers: &workers,
         now_ms: wall_ms(),
+        is_settled: control.is_settled(),
     };
     let held = control.policy.lock();
     held.as_ref()
         .map_or_else(|| "no policy is in force".into(), |(_, policy)| policy.explain(&view, job))
 }
+
+/// Faults of a document, also those that show only against the live workers.
+pub(super) fn faults(control: &Control, document: &Document) -> Vec<Fault> {
+    let mut faults = document.faults();
+    if faults.is_empty() {
+        let machine = control.machine.lock();
+        faults = guarantee::faults(document, &control.live_workers(&machine));
+    }
+    faults
+}
+
+/// Guarantees of the document in force that the open workers can't hold.
+pub(super) fn risks(control: &Control, machine: &Machine) -> Vec<Risk> {
+    let mut workers = control.live_workers(machine);
+    workers.retain(|worker| worker.is_open);
+    let known = control.fleet.lock().known();
+    guarantee::risks(&machine.config.document, &workers, &known)
+}
+
+impl Control {
+    fn live_workers(&self, machine: &Machine) -> Vec<Worker> {
+        let now_ms = self.timer.now_ms();
+        let fleet = self.fleet.lock();
+        fleet.view(&machine.workers, machine.now_ms, now_ms, self.patience_ms())
+    }
+}
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::placement::guarantee::Risk;
 use crate::placement::report::Shape;
 
 /// State of the cluster, as the leader sees it.
@@ -27,6 +28,9 @@
     pub workers: u64,
     /// Live jobs by phase.
     pub jobs: BTreeMap<String, u64>,
+    /// Guarantees that the open workers can't hold.
+    #[serde(default)]
+    pub risks: Vec<Risk>,
 }
 
 /// A control member.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -2,9 +2,22 @@
 //!
 //! Decisions are pure functions over a borrowed view of the cluster.
 
+pub mod audit;
+mod backfill;
+pub mod board;
+mod cell;
+mod cells;
+pub mod estimate;
+mod eviction;
 mod first_fit;
+mod fit;
+pub mod guarantee;
+pub mod health;
 pub mod order;
+mod queue;
 pub mod report;
+pub mod score;
+mod shape;
 
 use crate::state::document::Document;
 use crate::state::job::{self, Next, Part};
@@ -30,6 +43,8 @@
     pub workers: &'a [Worker],
     /// Wall-clock time, in milliseconds.
     pub now_ms: u64,
+    /// Whether every live worker must have been heard: a new leader hears them one by one.
+    pub is_settled: bool,
 }
 
 /// A live worker.
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -1,10 +1,11 @@
 //! Orders for workers, derived from the replicated jobs: what each task should be doing.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use serde::{Deserialize, Serialize};
 
-use crate::state::job::{Next, Phase, Table};
+use crate::state::job::{Job, Next, Part, Phase, Table};
 
 /// What a worker should do with one task.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -47,34 +48,49 @@
 
 /// All orders in force for a worker.
 pub fn orders(jobs: &Table, worker: &str, grace_ms: u64) -> Vec<Order> {
-    let mut orders = Vec::new();
+    let workers = BTreeSet::from([worker.to_string()]);
+    orders_by_worker(jobs, &workers, grace_ms).remove(worker).unwrap_or_default()
+}
+
+/// All orders in force for each of the workers, in one pass over the jobs.
+pub fn orders_by_worker(
+    jobs: &Table,
+    workers: &BTreeSet<String>,
+    grace_ms: u64,
+) -> BTreeMap<String, Vec<Order>> {
+    let mut orders: BTreeMap<String, Vec<Order>> = BTreeMap::new();
+    for worker in workers {
+        orders.insert(worker.clone(), Vec::new());
+    }
     for job in jobs.live.values() {
         let Some(gang) = job.phase.gang() else { continue };
         for (part, placed) in gang.parts.iter().enumerate() {
-            if placed.worker != worker {
-                continue;
-            }
-            let action = match &job.phase {
-                Phase::Preparing(_) => Action::Prepare {
-                    accelerators: placed.accelerators,
-                    payload: job.spec.payload.clone(),
-                    checkpoint: job.checkpoint.clone(),
-                },
-                Phase::Started(_) => Action::Start,
-                Phase::Stopping { next: Next::Wait, .. } => Action::Stop { grace_ms },
-                _ => Action::Stop { grace_ms: 0 },
-            };
+            let Some(orders) = orders.get_mut(&placed.worker) else { continue };
             orders.push(Order {
                 job: job.id.clone(),
                 part: part as u32,
                 epoch: gang.epoch,
-                action,
+                action: action(job, placed, grace_ms),
             });
         }
     }
     orders
 }
 
+fn action(job: &Job, placed: &Part, grace_ms: u64) -> Action {
+    match &job.phase {
+        Phase::Preparing(_) => Action::Prepare {
+            accelerators: placed.accelerators,
+            payload: job.spec.payload.clone(),
+            checkpoint: job.checkpoint.clone(),
+        },
+        Phase::Started(_) if job.throttled_ms.is_some() => Action::Throttle,
+        Phase::Started(_) => Action::Start,
+        Phase::Stopping { next: Next::Wait, .. } => Action::Stop { grace_ms },
+        _ => Action::Stop { grace_ms: 0 },
+    }
+}
+
 /// Revision of a list of orders; a poll that names another one is answered at once.
 pub fn revision(orders: &[Order]) -> u32 {
     let mut hasher = DefaultHasher::new();
--- /dev/null
+++ b/src/placement/score.rs
@@ -0,0 +1,76 @@
+//! What a placement costs, and how broken up the free accelerators are.
+
+use std::collections::BTreeMap;
+
+use super::board::{Board, Seat};
+use super::cell;
+use super::guarantee::Plan;
+use crate::state::document::Placement;
+
+/// Cost of an accelerator that another customer may reclaim.
+const RECLAIM: f64 = 64.0;
+/// Cost of an accelerator of a block that is broken up.
+const BREAK: f64 = 16.0;
+/// Cost of an accelerator left free on the worker.
+const LEFT: f64 = 4.0;
+/// Cost of a worker on which the job failed before.
+pub const FAILED_BEFORE: u64 = 1 << 40;
+
+/// Weighted cost of a free seat: expected delay by a later eviction, and fragmentation.
+pub fn seat(
+    placement: &Placement,
+    board: &Board<'_>,
+    plan: &Plan,
+    customer: Option<usize>,
+    seat: Seat,
+) -> u64 {
+    let spot = &board.spots[seat.worker];
+    let free = spot.free();
+    let foreign = plan.taken(seat.worker) & !plan.own(customer, seat.worker);
+    let reclaim = f64::from((foreign & seat.block).count_ones());
+    let broken = f64::from(cell::breakage(free, spot.worker.shape.accelerators, seat.block));
+    let left = f64::from((free & !seat.block).count_ones());
+    let delay = placement.completion_weight * reclaim * RECLAIM;
+    let fragmentation = placement.fragmentation_weight * (broken * BREAK + left * LEFT);
+    // Between equal costs the fuller worker wins, whatever the weights.
+    ((delay + fragmentation) * 16.0 + broken + left) as u64
+}
+
+/// A shape of the observed mix of jobs: accelerators of a part, and parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Demand {
+    /// Accelerators of each part.
+    pub accelerators: u32,
+    /// Parts of the gang.
+    pub parts: u32,
+}
+
+/// Share of free accelerators that a job of the mix could not use, 0 to 1.
+pub fn fragmentation(board: &Board<'_>, mix: &BTreeMap<Demand, u64>) -> f64 {
+    let mut free = 0;
+    for spot in &board.spots {
+        free += u64::from(spot.free().count_ones());
+    }
+    let jobs: u64 = mix.values().sum();
+    if free == 0 || jobs == 0 {
+        return 0.0;
+    }
+    let mut unusable = 0.0;
+    for (demand, count) in mix {
+        let usable = usable(board, *demand);
+        unusable += (free - usable) as f64 * *count as f64;
+    }
+    unusable / (free * jobs) as f64
+}
+
+fn usable(board: &Board<'_>, demand: Demand) -> u64 {
+    let mut blocks = 0;
+    for spot in &board.spots {
+        let total = spot.worker.shape.accelerators;
+        blocks += cell::blocks(spot.free(), total, demand.accelerators).count() as u64;
+    }
+    if demand.accelerators == 0 || blocks < u64::from(demand.parts) {
+        return 0;
+    }
+    blocks * u64::from(demand.accelerators)
+}
--- a/src/state/document.rs
+++ b/src/state/document.rs
@@ -127,6 +127,10 @@
     #[serde(rename = "4")]
     #[display("4")]
     Four,
+    /// Eight adjacent accelerators of a worker.
+    #[serde(rename = "8")]
+    #[display("8")]
+    Eight,
     /// All accelerators of a worker.
     #[serde(rename = "worker")]
     #[display("worker")]
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -1,6 +1,6 @@
 //! Jobs: gangs of tasks, their placements and epochs.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -177,10 +177,19 @@
     pub phase: Phase,
     /// Whether a task of it may ever have started.
     pub may_have_started: bool,
+    /// Whether a task may have run since the checkpoint.
+    #[serde(default)]
+    pub ran_since_checkpoint: bool,
     /// Confirmed checkpoint from which it can be resumed.
     pub checkpoint: Option<String>,
-    /// Workers on which it failed.
-    pub failed_on: BTreeSet<String>,
+    /// Workers on which it failed, and when it last did, in wall-clock milliseconds.
+    pub failed_on: BTreeMap<String, u64>,
+    /// How often a part of it failed.
+    #[serde(default)]
+    pub failures: u32,
+    /// When its tasks were last told to use no more than declared, in wall-clock milliseconds.
+    #[serde(default)]
+    pub throttled_ms: Option<u64>,
     /// How often it was evicted.
     pub evictions: u32,
 }
@@ -238,6 +247,13 @@
         /// Worker at which a part failed, if one did.
         failed_on: Option<String>,
     },
+    /// Tells the gang's tasks to use no more than declared.
+    Throttle {
+        /// Job.
+        id: String,
+        /// Epoch of the gang.
+        epoch: u64,
+    },
     /// Every part is confirmed stopped, or its lease chain ran out.
     Stopped {
         /// Job.
@@ -264,6 +280,8 @@
     /// Jobs that have ended, by id.
     pub ended: BTreeMap<String, Job>,
     ended_order: std::collections::VecDeque<String>,
+    #[serde(default)]
+    ended_total: u64,
     last_epoch: u64,
 }
 
@@ -273,6 +291,18 @@
         self.live.get(id).or_else(|| self.ended.get(id))
     }
 
+    /// Jobs that have ended so far, forgotten ones too.
+    pub fn ended_total(&self) -> u64 {
+        self.ended_total
+    }
+
+    /// Remembered jobs that ended after the first `seen`, oldest first.
+    pub fn ended_after(&self, seen: u64) -> impl Iterator<Item = &Job> {
+        let fresh = self.ended_total.saturating_sub(seen) as usize;
+        let skipped = self.ended_order.len().saturating_sub(fresh);
+        self.ended_order.iter().skip(skipped).filter_map(|id| self.ended.get(id))
+    }
+
     /// Applies a change.
     ///
     /// # Errors
@@ -302,6 +332,15 @@
                 self.stop(id, *epoch, next, failed_on.as_deref(), now_ms)?;
                 self.reply(id)
             }
+            Command::Throttle { id, epoch } => {
+                let job = self.job(id)?;
+                match &job.phase {
+                    Phase::Started(gang) if gang.epoch == *epoch => {}
+                    phase => return Err(moved_on(id, phase)),
+                }
+                job.throttled_ms = Some(now_ms);
+                self.reply(id)
+            }
             Command::Stopped { id, epoch, checkpoint } => {
                 self.stopped(id, *epoch, checkpoint.as_deref(), now_ms)?;
                 self.reply(id)
@@ -343,8 +382,11 @@
             ended_ms: None,
             phase: Phase::Waiting,
             may_have_started: false,
+            ran_since_checkpoint: false,
             checkpoint: None,
-            failed_on: BTreeSet::new(),
+            failed_on: BTreeMap::new(),
+            failures: 0,
+            throttled_ms: None,
             evictions: 0,
         };
         self.live.insert(id.into(), job.clone());
@@ -392,6 +434,7 @@
         gang.since_ms = now_ms;
         job.phase = Phase::Started(gang);
         job.may_have_started = true;
+        job.ran_since_checkpoint = true;
         job.started_ms.get_or_insert(now_ms);
         Ok(())
     }
@@ -411,7 +454,8 @@
         };
         gang.since_ms = now_ms;
         if let Some(worker) = failed_on {
-            job.failed_on.insert(worker.into());
+            job.failed_on.insert(worker.into(), now_ms);
+            job.failures += 1;
         } else if *next == Next::Wait {
             job.evictions += 1;
         }
@@ -433,11 +477,15 @@
         };
         if let Some(checkpoint) = checkpoint {
             job.checkpoint = Some(checkpoint.into());
+            job.ran_since_checkpoint = false;
         }
         match next {
             Next::Cancel => self.end(id, Phase::Cancelled, now_ms),
             Next::Fail(reason) => self.end(id, Phase::Failed(reason), now_ms),
-            Next::Wait if job.may_run_again() => job.phase = Phase::Waiting,
+            Next::Wait if job.may_run_again() => {
+                job.throttled_ms = None;
+                job.phase = Phase::Waiting;
+            }
             Next::Wait => {
                 let reason = "may have started and is not idempotent".to_string();
                 self.end(id, Phase::Failed(reason), now_ms);
@@ -452,6 +500,7 @@
         job.ended_ms = Some(now_ms);
         self.ended.insert(id.into(), job);
         self.ended_order.push_back(id.into());
+        self.ended_total += 1;
         if self.ended_order.len() <= REMEMBERED {
             return;
         }
@@ -464,7 +513,9 @@
 impl Job {
     /// Whether a (further) start keeps the job's promise of running at most once.
     pub fn may_run_again(&self) -> bool {
-        !self.may_have_started || self.spec.idempotent || self.checkpoint.is_some()
+        // What ran after the checkpoint would run twice.
+        let resumes = self.checkpoint.is_some() && !self.ran_since_checkpoint;
+        !self.may_have_started || self.spec.idempotent || resumes
     }
 }
 
--- a/src/state/worker.rs
+++ b/src/state/worker.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Whether the worker is in quarantine at this time.
+    pub fn is_quarantined(&self, worker: &str, now_ms: u64) -> bool {
+        self.records.get(worker).is_some_and(|record| record.quarantined_until_ms > now_ms)
+    }
+
     /// Whether the worker may take new work at this time.
     pub fn is_open(&self, worker: &str, now_ms: u64) -> bool {
         self.records
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod cluster;
+pub mod replay;
 pub mod upstream;
 pub mod worker;
 
