--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -19,6 +19,12 @@
     Obeys,
     /// Fails every task when it starts.
     FailsTasks,
+    /// Fails to prepare any task.
+    RefusesTasks,
+    /// Never gets a task ready.
+    StallsTasks,
+    /// Loses its tasks as soon as they run, as by a restart, and reports none.
+    LosesTasks,
 }
 
 /// A running stand-in.
@@ -150,13 +156,13 @@
             match &order.action {
                 Action::Prepare { payload, .. } if newer => {
                     let run = Duration::from_millis(payload.parse().unwrap_or(0));
-                    let held = Held {
-                        epoch: order.epoch,
-                        state: State::Prepared,
-                        run,
-                        ends: None,
-                        checkpoint: None,
+                    let state = match self.manner {
+                        Manner::RefusesTasks => State::Failed,
+                        Manner::StallsTasks => continue,
+                        _ => State::Prepared,
                     };
+                    let held =
+                        Held { epoch: order.epoch, state, run, ends: None, checkpoint: None };
                     self.tasks.insert(key, held);
                 }
                 Action::Start => self.start_task(&key),
@@ -192,6 +198,11 @@
         }
         let start = (key.0.clone(), key.1, held.epoch);
         self.starts.lock().expect("no holder panics").push(start);
+        if self.manner == Manner::LosesTasks {
+            self.tasks.remove(key);
+            self.report.incarnation += 1;
+            return;
+        }
         if self.manner == Manner::FailsTasks {
             held.state = State::Failed;
             return;
