--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod history;
 pub mod raw;
 pub mod relay;
+pub mod replay;
 pub mod upstream;
 pub mod worker;
 
