Route over shared slots, a bounded queue, safe retries and doubt-free connections

Cause: every announcement went to every entry as a whole row, each entry used all slots of every upstream, requests waited without bound, and a kept connection could give one request's late or second answer to the next request.

Ruled out: closing each connection after one exchange (safe, but a connection setup for each request); trusting hyper's check of idle connections (it sees a second answer only when that arrives before the next request is sent). A connection is kept only where the upstream repeats the request's number in its answer, and the number is checked on every answer.

An attempt is `not_run` only where no connection was made, or where hyper gives the request back unsent. An earlier attempt that may have run keeps the last verdict from being `not_run`.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,7 +8,7 @@
 
 use crate::control::Control;
 use crate::control::client::Client;
-use crate::entry::{Entry, listen, standing, token};
+use crate::entry::{Entry, listen, spread, standing, token};
 use crate::error::Result;
 use crate::kernel::timer::Timer;
 use crate::mesh::call::{Answer, Call};
@@ -60,7 +60,9 @@
         self.entry.on_notice(from, notice);
     }
 
-    fn on_link(&self, _peer: &Hello) {}
+    fn on_link(&self, peer: &Hello) {
+        self.entry.on_link(peer);
+    }
 }
 
 impl Daemon<Starting> {
@@ -123,6 +125,7 @@
             .wrap_err_with(|| format!("mesh listener {}", settings.listen.mesh))?;
         if settings.is_entry {
             tokio::spawn(standing::keep(entry.clone()));
+            tokio::spawn(spread::keep(entry.clone()));
         }
         Ok(Daemon { settings, state: Serving { entry, control } })
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 pub mod platform;
 mod polls;
 mod request;
+pub mod spread;
 pub mod standing;
 pub mod token;
 
@@ -16,10 +17,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::Notify;
+use http_body::Body as _;
+use tokio::sync::{Notify, Semaphore};
 use volo_http::body::Body;
 
 use crate::control::client::Client;
+use crate::error::{Code, Error};
 use crate::kernel::lock::{Rank, Table};
 use crate::kernel::timer::Timer;
 use crate::mesh::Mesh;
@@ -46,6 +49,8 @@
     draining: AtomicBool,
     idle: Notify,
     renew_now: Notify,
+    /// Bytes that bodies which are being read may still take.
+    reading: Arc<Semaphore>,
 }
 
 impl Entry {
@@ -59,7 +64,7 @@
     ) -> Arc<Self> {
         let own = mesh.own();
         let owner = Owner { entry: own.name.clone(), incarnation: own.incarnation };
-        let router = Router::new(&settings.zone, timer.clone(), settings.limits.body_bytes);
+        let router = Router::new(settings, timer.clone());
         Arc::new(Self {
             settings: settings.clone(),
             timer,
@@ -75,12 +80,13 @@
             draining: AtomicBool::new(false),
             idle: Notify::new(),
             renew_now: Notify::new(),
+            reading: Arc::new(Semaphore::new(settings.limits.queue_bytes)),
             mesh,
         })
     }
 
     /// Takes a notice from another daemon, or from the control member of this one.
-    pub fn on_notice(&self, _from: &str, notice: Notice) {
+    pub fn on_notice(&self, from: &str, notice: Notice) {
         match notice {
             Notice::Configured { version } => {
                 if self.standing.lock().version < version {
@@ -88,16 +94,13 @@
                 }
             }
             Notice::Orders { worker, orders } => self.polls.put(&worker, orders),
-            Notice::Upstreams(deltas) => {
+            Notice::Upstreams(deltas) => self.on_deltas(from, &deltas),
+            Notice::Beats(beats) => self.on_beats(from, &beats),
+            Notice::Want(marks) => self.on_want(from, &marks),
+            Notice::Load(load) => {
                 let now_ms = self.timer.now_ms();
-                let mut upstreams = self.router.upstreams.lock();
-                for delta in &deltas {
-                    upstreams.hear(&delta.id, &delta.announce, now_ms);
-                }
-                drop(upstreams);
-                self.router.wake();
+                self.router.upstreams.lock().hear_load(from, load, now_ms);
             }
-            Notice::Load(_) => {}
         }
     }
 
@@ -110,15 +113,16 @@
 
     /// Whether a planned stop is under way.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.draining.load(Ordering::SeqCst)
     }
 
     /// Turns unready, waits for the balancer, stops taking new work and waits until nothing is
     /// in flight.
     pub async fn drain(&self) {
-        self.unready.store(true, Ordering::Relaxed);
+        self.unready.store(true, Ordering::SeqCst);
         self.timer.sleep(Duration::from_millis(self.settings.times.drain_ms)).await;
-        self.draining.store(true, Ordering::Relaxed);
+        // Ordered with the count: a request either sees this or is waited for.
+        self.draining.store(true, Ordering::SeqCst);
         loop {
             let idle = self.idle.notified();
             if self.in_flight.load(Ordering::SeqCst) == 0 {
@@ -130,6 +134,13 @@
 
     async fn read(&self, body: Body, limit: usize) -> crate::error::Result<Bytes> {
         let within = Duration::from_millis(self.settings.times.read_ms);
+        let announced = body.size_hint().upper().unwrap_or(limit as u64);
+        let reserved = announced.min(limit as u64) as u32;
+        let Ok(_reserved) = self.reading.try_acquire_many(reserved) else {
+            let message = "too many bodies are being read at this entry";
+            let error = Error::not_run(Code::OverLimit, message);
+            return Err(error.retry_after(Duration::from_secs(1)));
+        };
         http::read(body, limit, within).await
     }
 
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -13,10 +13,10 @@
 use super::{Entry, http as shared};
 use crate::error::{Code, Error, Result};
 use crate::mesh::call::{Answer, Call};
-use crate::mesh::frame::Notice;
 use crate::placement::order::{Order, revision};
 use crate::placement::report::Report;
-use crate::routing::upstream::{Announce, Delta};
+use crate::routing::table::Heard;
+use crate::routing::upstream::Announce;
 use crate::state::document::is_name;
 
 /// Longest body of an announcement or poll, in bytes.
@@ -93,11 +93,15 @@
     check_name("upstream", id)?;
     let bytes = entry.read(body, BODY_BYTES).await?;
     let announce: Announce = shared::parse(&bytes)?;
+    announce.check().map_err(|fault| Error::not_run(Code::BadRequest, fault.to_string()))?;
     let now_ms = entry.timer.now_ms();
-    if entry.router.upstreams.lock().hear(id, &announce, now_ms) {
-        let delta = Delta { id: id.into(), announce };
-        entry.mesh.broadcast(&Notice::Upstreams(vec![delta]));
-        entry.router.wake();
+    let heard = entry.router.upstreams.lock().hear(id, &announce, now_ms);
+    match heard {
+        Heard::Full => {
+            return Err(Error::not_run(Code::OverLimit, "the table of upstreams is full"));
+        }
+        Heard::Changed => entry.tell_upstream(id),
+        Heard::Refreshed | Heard::Stale | Heard::Behind => {}
     }
     Ok(Announced { next_ms: ANNOUNCE_MS, entries: entry.platform_addresses() })
 }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -11,7 +11,7 @@
 use crate::error::{Code, Error, Result};
 use crate::mesh::call::{Answer as CallAnswer, Call};
 use crate::routing::Request;
-use crate::routing::attempt::Attempt;
+use crate::routing::limit::Hold;
 use crate::state::claim::{self, Answer, Grant, Key, Outcome, Settlement};
 use crate::state::{Command, Reply};
 use crate::telemetry::Metrics;
@@ -52,11 +52,12 @@
 
 async fn run(entry: &Arc<Entry>, asked: Asked, in_flight: &Arc<InFlight>) -> Result<Answer> {
     let request = admit(entry, &asked)?;
+    let _held = hold(entry, &request)?;
     let Some(key) = &asked.key else {
-        return send_idempotent(entry, &request).await;
+        return send_once(entry, &request).await;
     };
     if asked.is_idempotent {
-        return send_idempotent(entry, &request).await;
+        return send_once(entry, &request).await;
     }
     let claim = claim::Request {
         key: claim_key(&asked.customer, key),
@@ -99,10 +100,10 @@
         let message = format!("no kind `{}` in the configuration", asked.kind);
         return Err(Error::not_run(Code::NotFound, message));
     };
-    if document.customer(&asked.customer).is_none() {
+    let Some(customer) = document.customer(&asked.customer) else {
         let message = format!("no customer `{}` in the configuration", asked.customer);
         return Err(Error::not_run(Code::Forbidden, message));
-    }
+    };
     if !asked.is_idempotent && asked.key.is_none() {
         let message = "a request that is not idempotent needs an Idempotency-Key";
         return Err(Error::not_run(Code::BadRequest, message));
@@ -110,7 +111,9 @@
     Ok(Request {
         number: entry.next_request.fetch_add(1, Ordering::Relaxed),
         kind: asked.kind.clone(),
+        rank: kind.rank,
         customer: asked.customer.clone(),
+        share: customer.share,
         payload: asked.payload.clone(),
         content_type: asked.content_type.clone(),
         is_idempotent: asked.is_idempotent,
@@ -118,17 +121,28 @@
     })
 }
 
+// Takes this entry's part of the customer's limits, until the request ends.
+fn hold(entry: &Entry, request: &Request) -> Result<Hold> {
+    let (document, entries) = {
+        let standing = entry.standing.lock();
+        (standing.document.clone(), standing.entries.len() as u32)
+    };
+    let limits = document.customer(&request.customer).map(|customer| customer.limits);
+    let limits = limits.unwrap_or_default();
+    let bytes = request.payload.len() as u64;
+    let now_ms = entry.timer.now_ms();
+    let held = entry.router.limits.admit(&request.customer, &limits, entries, bytes, now_ms);
+    held.map_err(|exceeded| {
+        let error = Error::not_run(Code::OverLimit, exceeded.to_string());
+        error.retry_after(Duration::from_secs(1))
+    })
+}
+
 fn no_lease() -> Error {
     let error = Error::not_run(Code::NoLease, "this entry holds no lease from the control members");
     error.retry_after(Duration::from_secs(1))
 }
 
-async fn send_idempotent(entry: &Arc<Entry>, request: &Request) -> Result<Answer> {
-    let attempt = Attempt::new();
-    let slot = entry.router.pick(request, &attempt).await?;
-    entry.router.send(request, &slot, attempt.claimed()).await
-}
-
 async fn send_claimed(
     entry: &Arc<Entry>,
     request: &Request,
@@ -146,14 +160,15 @@
 }
 
 async fn send_once(entry: &Arc<Entry>, request: &Request) -> Result<Answer> {
-    let attempt = Attempt::new();
-    let slot = entry.router.pick(request, &attempt).await?;
-    let now_ms = entry.timer.now_ms();
-    // A process that was frozen and resumes sends nothing on a lapsed lease.
-    if !entry.standing.lock().holds_lease(now_ms) {
-        return Err(no_lease());
-    }
-    entry.router.send(request, &slot, attempt.claimed()).await
+    let gate = || {
+        let now_ms = entry.timer.now_ms();
+        // A process that was frozen and resumes sends nothing on a lapsed lease.
+        match entry.standing.lock().holds_lease(now_ms) {
+            true => Ok(()),
+            false => Err(no_lease()),
+        }
+    };
+    entry.router.run(request, &gate).await
 }
 
 // Another attempt owns the claim: its outcome is this request's outcome too.
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -101,8 +101,12 @@
     },
     /// Upstreams that changed at the sender.
     Upstreams(Vec<upstream::Delta>),
-    /// Load of the sender's share of upstream slots.
-    Load(Vec<upstream::Load>),
+    /// Upstreams that announced themselves to the sender again, unchanged.
+    Beats(upstream::Beats),
+    /// Upstreams of which the sender wants the whole row.
+    Want(Vec<upstream::Mark>),
+    /// Load of the sender.
+    Load(upstream::Load),
 }
 
 /// Encodes a value.
--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -67,6 +67,11 @@
 }
 
 impl Attempt<Sent> {
+    /// The connection gave the request back: none of its bytes left.
+    pub fn unsent(self) -> Attempt<Claimed> {
+        Attempt { _state: Claimed }
+    }
+
     /// The whole answer arrived.
     pub fn answered(self) -> Attempt<Answered> {
         Attempt { _state: Answered }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,21 +1,39 @@
-//! Routing of requests: upstreams, picks, attempts and connections.
+//! Routing of requests: queue, pick of an upstream, exchange, retries.
 
 pub mod attempt;
 pub mod connection;
+pub mod limit;
+pub mod outlier;
+pub mod queue;
+pub mod retry;
+pub mod share;
+pub mod slot;
+pub mod table;
 pub mod upstream;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::Notify;
+use tokio::sync::oneshot;
 
 use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Rank, Table};
 use crate::kernel::timer::Timer;
+use crate::settings::Settings;
 use crate::state::claim::Answer;
-use crate::telemetry::DECISION;
-use attempt::{Attempt, Claimed, Queued};
+use crate::telemetry::{DECISION, Metrics};
+use crate::verdict::Verdict;
+use attempt::{Attempt, Claimed};
+use connection::{Connection, Failed};
+use queue::Queue;
+use slot::{Grant, Slot};
+use table::End;
+
+/// Longest time for which the slot of an exchange is held after its request gave up.
+const LINGER: Duration = Duration::from_secs(5);
+/// Shortest silence that counts against an upstream, in milliseconds.
+const SILENCE_MS: u64 = 500;
 
 /// A request as it is routed.
 #[derive(Clone, Debug)]
@@ -24,8 +42,12 @@
     pub number: u64,
     /// Kind.
     pub kind: String,
+    /// Rank of the kind; 0 is the most urgent.
+    pub rank: u8,
     /// Customer.
     pub customer: String,
+    /// Share of the customer among customers of the same rank.
+    pub share: u32,
     /// Payload.
     pub payload: Bytes,
     /// Content type of the payload.
@@ -40,113 +62,228 @@
 pub struct Router {
     timer: Timer,
     /// Upstreams known to this entry.
-    pub upstreams: Table<upstream::Table>,
+    pub upstreams: Table<table::Table>,
+    /// Limits of customers.
+    pub limits: limit::Limiter,
+    queue: Table<Queue<oneshot::Sender<Grant>>>,
+    budget: Table<retry::Budget>,
     connections: connection::Pool,
-    freed: Notify,
 }
 
-/// A slot of an upstream, given back when dropped.
-pub struct Slot {
-    router: Arc<Router>,
-    /// Upstream.
-    pub upstream: upstream::Upstream,
+/// Asked right before the first byte of each attempt: an error keeps it from being sent.
+pub type Gate<'a> = &'a (dyn Fn() -> Result<()> + Send + Sync);
+
+/// An attempt that failed.
+struct Tried {
+    error: Error,
+    /// Upstream that it failed on; `None` where none was found.
+    upstream: Option<String>,
 }
 
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.router.upstreams.lock().release(&self.upstream.id);
-        self.router.freed.notify_one();
-    }
+/// What an exchange came to.
+struct Ended {
+    result: connection::Result<Answer>,
+    /// The slot, where no byte was sent and it can be used again.
+    slot: Option<Slot>,
 }
 
 impl Router {
-    /// A router of an entry in this zone.
-    pub fn new(zone: &str, timer: Timer, answer_bytes: usize) -> Arc<Self> {
+    /// A router of an entry.
+    pub fn new(settings: &Settings, timer: Timer) -> Arc<Self> {
+        let limits = &settings.limits;
+        let most = limits.upstream_connections as u32;
+        let upstreams = table::Table::new(&settings.name, &settings.zone, most);
+        let bounds = queue::Bounds { requests: limits.queue_requests, bytes: limits.queue_bytes };
         Arc::new(Self {
             timer,
-            upstreams: Table::new(Rank::Upstreams, upstream::Table::new(zone)),
-            connections: connection::Pool::new(answer_bytes),
-            freed: Notify::new(),
+            upstreams: Table::new(Rank::Upstreams, upstreams),
+            limits: limit::Limiter::default(),
+            queue: Table::new(Rank::Queue, Queue::new(bounds)),
+            budget: Table::new(Rank::Limits, retry::Budget::default()),
+            connections: connection::Pool::new(limits.body_bytes),
         })
     }
 
-    /// Wakes requests that wait, after upstreams changed.
-    pub fn wake(&self) {
-        self.freed.notify_waiters();
+    /// Number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.lock().len()
+    }
+
+    /// Housekeeping, to be called now and then.
+    pub fn sweep(self: &Arc<Self>) {
+        let now_ms = self.timer.now_ms();
+        self.upstreams.lock().sweep(now_ms);
+        self.connections.sweep(now_ms);
+        Metrics::global().set_queue_depth(self.waiting() as u64);
+        self.wake();
     }
 
-    /// Waits for a slot of an upstream until the request's deadline.
+    /// Runs a request: waits for a slot, sends it, and tries another upstream where that is safe.
     ///
     /// # Errors
-    /// `deadline` or `no_upstream`, both `not_run`.
-    pub async fn pick(
-        self: &Arc<Self>,
-        request: &Request,
-        attempt: &Attempt<Queued>,
-    ) -> Result<Slot> {
-        loop {
-            let freed = self.freed.notified();
-            let now_ms = self.timer.now_ms();
-            let picked = self.upstreams.lock().pick(&request.kind, now_ms);
-            if let Some((upstream, candidates)) = picked {
-                let choice = &upstream.id;
-                tracing::info!(
-                    target: DECISION,
-                    request = request.number,
-                    candidates,
-                    choice,
-                    reason = "least loaded of two",
-                    "route"
-                );
-                return Ok(Slot { router: self.clone(), upstream });
-            }
-            if now_ms >= request.deadline_ms {
-                return Err(attempt.fail(Code::NoUpstream, "no upstream had a free slot in time"));
-            }
-            // Upstreams may appear or expire without a wake-up.
-            const RECHECK: u64 = 100;
-            tokio::select! {
-                () = freed => {}
-                () = self.timer.sleep_until(request.deadline_ms.min(now_ms + RECHECK)) => {}
+    /// `not_run` where no byte of any attempt left, else `may_have_run`.
+    pub async fn run(self: &Arc<Self>, request: &Request, gate: Gate<'_>) -> Result<Answer> {
+        let mut failed = Vec::new();
+        let mut verdict = Verdict::NotRun;
+        for number in 1.. {
+            let tried = match self.attempt(request, &failed, gate).await {
+                Ok(answer) => {
+                    self.budget.lock().earn();
+                    return Ok(answer);
+                }
+                Err(tried) => tried,
+            };
+            // An earlier attempt may have run, whatever became of the later ones.
+            verdict = verdict.max(tried.error.verdict);
+            let error = Error { verdict, ..tried.error };
+            let Some(upstream) = tried.upstream else { return Err(error) };
+            failed.push(upstream);
+            if !self.may_retry(request, number, verdict) {
+                return Err(error);
             }
+            Metrics::global().count_retry();
+            let reason = error.message;
+            tracing::info!(target: DECISION, request = request.number, number, reason, "retry");
+            self.timer.sleep(retry::wait(number)).await;
         }
+        unreachable!("the attempts are bounded")
+    }
+
+    fn may_retry(&self, request: &Request, number: u32, verdict: Verdict) -> bool {
+        let is_safe = verdict == Verdict::NotRun || request.is_idempotent;
+        let is_early = self.timer.now_ms() < request.deadline_ms;
+        is_safe && is_early && number < retry::ATTEMPTS && self.budget.lock().spend()
     }
 
-    /// Sends a request once and reads the whole answer.
+    async fn attempt(
+        self: &Arc<Self>,
+        request: &Request,
+        failed: &[String],
+        gate: Gate<'_>,
+    ) -> std::result::Result<Answer, Tried> {
+        let attempt = Attempt::new();
+        let slot = match failed {
+            [] => self.wait(request, &attempt).await,
+            _ => self.wait_for_other(request, failed, &attempt).await,
+        };
+        let slot = slot.map_err(|error| Tried { error, upstream: None })?;
+        let upstream = slot.upstream.id.clone();
+        let sent = self.send(request, slot, attempt.claimed(), gate).await;
+        sent.map_err(|error| {
+            // Without the right to send, no other upstream helps either.
+            let is_final = matches!(error.code, Code::NoLease | Code::Stopping);
+            Tried { error, upstream: (!is_final).then_some(upstream) }
+        })
+    }
+
+    /// Sends a request on a slot and reads the whole answer.
     ///
     /// # Errors
     /// `not_run` where no byte left, else `may_have_run`.
-    pub async fn send(
-        &self,
+    async fn send(
+        self: &Arc<Self>,
         request: &Request,
-        slot: &Slot,
-        attempt: Attempt<Claimed>,
+        mut slot: Slot,
+        mut attempt: Attempt<Claimed>,
+        gate: Gate<'_>,
     ) -> Result<Answer> {
+        let id = slot.upstream.id.clone();
+        loop {
+            let taken = self.connections.take(slot.upstream.address).await;
+            let connection = match taken {
+                Ok(connection) => connection,
+                Err(e) => {
+                    self.end(&id, End::Failed);
+                    return Err(attempt.fail(Code::UpstreamFailed, e.to_string()));
+                }
+            };
+            let start_ms = self.timer.now_ms();
+            if let Err(error) = self.check(request, start_ms, &attempt).and_then(|()| gate()) {
+                self.end(&id, End::Unused);
+                return Err(error);
+            }
+            let is_reused = connection.is_reused();
+            let sent = attempt.sent();
+            let (tell, told) = oneshot::channel();
+            let router = self.clone();
+            tokio::spawn(router.carry(connection, request.clone(), slot, tell));
+            let left = Duration::from_millis(request.deadline_ms - start_ms);
+            let ended = match tokio::time::timeout(left, told).await {
+                Ok(Ok(ended)) => ended,
+                Ok(Err(_)) => {
+                    self.end(&id, End::Failed);
+                    return Err(sent.fail(Code::UpstreamFailed, "the exchange was given up"));
+                }
+                Err(_) => {
+                    let took_ms = self.timer.now_ms() - start_ms;
+                    let is_silent = took_ms >= SILENCE_MS;
+                    self.end(&id, if is_silent { End::Failed } else { End::Unused });
+                    return Err(sent.fail(Code::Deadline, "no whole answer in time"));
+                }
+            };
+            match (ended.result, ended.slot) {
+                (Ok(answer), _) => {
+                    sent.answered();
+                    self.end(&id, End::Answered);
+                    let took_ms = self.timer.now_ms() - start_ms;
+                    self.queue.lock().learn(&request.kind, took_ms);
+                    return Ok(answer);
+                }
+                // The upstream closed an idle connection: that says nothing of the upstream.
+                (Err(Failed::Unsent(_)), Some(held)) if is_reused => {
+                    slot = held;
+                    attempt = sent.unsent();
+                }
+                (Err(e @ Failed::Unsent(_)), _) => {
+                    self.end(&id, End::Failed);
+                    return Err(sent.unsent().fail(Code::UpstreamFailed, e.to_string()));
+                }
+                (Err(e), _) => {
+                    self.end(&id, End::Failed);
+                    return Err(sent.fail(Code::UpstreamFailed, e.to_string()));
+                }
+            }
+        }
+    }
+
+    fn check(&self, request: &Request, now_ms: u64, attempt: &Attempt<Claimed>) -> Result<()> {
+        if now_ms < request.deadline_ms {
+            return Ok(());
+        }
+        Err(attempt.fail(Code::Deadline, "the deadline passed before the request was sent"))
+    }
+
+    // A task of its own: the slot is held until the exchange is over, also where its request
+    // gave up meanwhile.
+    async fn carry(
+        self: Arc<Self>,
+        mut connection: Connection,
+        request: Request,
+        slot: Slot,
+        tell: oneshot::Sender<Ended>,
+    ) {
         let left_ms = request.deadline_ms.saturating_sub(self.timer.now_ms());
-        if left_ms == 0 {
-            return Err(
-                attempt.fail(Code::Deadline, "the deadline passed before the request was sent")
-            );
+        let within = Duration::from_millis(left_ms) + LINGER;
+        let exchange = self.connections.exchange(&mut connection, &request);
+        let Ok(result) = tokio::time::timeout(within, exchange).await else { return };
+        if matches!(result, Err(Failed::Unsent(_))) {
+            let _ = tell.send(Ended { result, slot: Some(slot) });
+            return;
         }
-        let address = slot.upstream.address;
-        let connection = match self.connections.take(address).await {
-            Ok(connection) => connection,
-            Err(e) => return Err(attempt.fail(Code::UpstreamFailed, format!("no connection: {e}"))),
-        };
-        let attempt = attempt.sent();
-        let sent = self.connections.exchange(connection, request);
-        match tokio::time::timeout(Duration::from_millis(left_ms), sent).await {
-            Ok(Ok(answer)) => {
-                attempt.answered();
-                Ok(answer)
-            }
-            Ok(Err(e)) => Err(attempt.fail(Code::UpstreamFailed, e.to_string())),
-            Err(_) => Err(attempt.fail(Code::Deadline, "no whole answer in time")),
+        let is_whole = result.is_ok();
+        let is_wanted = tell.send(Ended { result, slot: None }).is_ok();
+        if is_whole && is_wanted {
+            let bound = slot.upstream.connections as usize;
+            self.connections.give_back(connection, bound, self.timer.now_ms()).await;
         }
+        drop(slot);
     }
 
-    /// Error for a kind that no upstream serves.
-    pub fn unserved(kind: &str) -> Error {
-        Error::not_run(Code::NoUpstream, format!("no upstream serves `{kind}`"))
+    fn end(&self, id: &str, end: End) {
+        let now_ms = self.timer.now_ms();
+        let is_ejected = self.upstreams.lock().end(id, end, now_ms);
+        if is_ejected {
+            tracing::info!(target: DECISION, choice = id, reason = "failures in a row", "eject");
+        }
     }
 }
--- /dev/null
+++ b/src/routing/table.rs
@@ -0,0 +1,479 @@
+//! Upstreams known to an entry: soft state with a time to live, and the pick among them.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use super::outlier::{Health, may_eject};
+use super::share;
+use super::upstream::{
+    Announce, Beat, Beats, Delta, Load, Mark, Row, State, TTL_MS, Upstream, Used,
+};
+
+/// Milliseconds of silence after which a row is dropped.
+const FORGET_MS: u64 = 60_000;
+/// Milliseconds for which a leaving upstream is remembered, so that late news can't revive it.
+const LEAVING_MS: u64 = 600_000;
+/// Most rows.
+const ROWS: usize = 2_048;
+/// Milliseconds after which another entry's load counts no longer.
+const LOAD_MS: u64 = 2_000;
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Nothing: it is older than what is known.
+    Stale,
+    /// Only the time at which the upstream was last heard of.
+    Refreshed,
+    /// The row: other entries want to know.
+    Changed,
+    /// Nothing: the sender's row is behind this one, which is leaving.
+    Behind,
+    /// Nothing: the table is full.
+    Full,
+}
+
+/// Why an upstream was picked.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum Reason {
+    /// Own share, own availability zone.
+    #[display("own share, own availability zone")]
+    Near,
+    /// Own share, another availability zone.
+    #[display("own share, other availability zone")]
+    Far,
+    /// Idle slots of other entries.
+    #[display("borrowed")]
+    Borrowed,
+}
+
+/// A pick.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Upstreams that it was picked from.
+    pub candidates: usize,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// How an exchange with an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With a whole answer.
+    Answered,
+    /// Without one, by the upstream's fault.
+    Failed,
+    /// Before anything was sent.
+    Unused,
+}
+
+#[derive(Debug)]
+struct Known {
+    announce: Announce,
+    mark: Mark,
+    heard_ms: u64,
+    heard_directly_ms: Option<u64>,
+    used: u32,
+    /// Slots that are this entry's own.
+    share: u32,
+    /// Slots that it may use with what others leave idle.
+    loan: u32,
+    /// Connections that it may hold.
+    connections: u32,
+    health: Health,
+}
+
+#[derive(Debug)]
+struct Peer {
+    load: Load,
+    heard_ms: u64,
+    least_offset_ms: Option<i64>,
+}
+
+/// Upstreams by id.
+#[derive(Debug)]
+pub struct Table {
+    own: String,
+    zone: String,
+    most_connections: u32,
+    entries: Vec<String>,
+    known: BTreeMap<String, Known>,
+    ids: BTreeMap<Mark, String>,
+    peers: BTreeMap<String, Peer>,
+}
+
+impl Table {
+    /// An empty table of an entry in a zone; all entries together hold at most
+    /// `most_connections` to one upstream.
+    pub fn new(own: &str, zone: &str, most_connections: u32) -> Self {
+        Self {
+            own: own.into(),
+            zone: zone.into(),
+            most_connections,
+            entries: vec![own.into()],
+            known: BTreeMap::new(),
+            ids: BTreeMap::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes an announcement that the upstream made to this entry.
+    pub fn hear(&mut self, id: &str, announce: &Announce, now_ms: u64) -> Heard {
+        let heard = self.hear_of(id, announce, now_ms);
+        if let (Heard::Refreshed | Heard::Changed, Some(known)) = (heard, self.known.get_mut(id)) {
+            known.heard_directly_ms = Some(now_ms);
+        }
+        heard
+    }
+
+    /// Takes an announcement that another entry passed on, heard there at `heard_ms`.
+    pub fn hear_of(&mut self, id: &str, announce: &Announce, heard_ms: u64) -> Heard {
+        let Some(known) = self.known.get_mut(id) else {
+            return self.insert(id, announce, heard_ms);
+        };
+        let held = &known.announce;
+        if announce.incarnation < held.incarnation {
+            return Heard::Stale;
+        }
+        let is_same = announce.incarnation == held.incarnation;
+        let is_newer = !is_same || announce.sequence > held.sequence;
+        let has_left = is_same && held.state == State::Leaving;
+        let leaves = announce.state == State::Leaving;
+        // Leaving is final for an incarnation, whatever arrives late or out of order.
+        if has_left {
+            if is_newer {
+                known.announce.sequence = announce.sequence;
+                known.heard_ms = known.heard_ms.max(heard_ms);
+            }
+            return match leaves {
+                true if is_newer => Heard::Refreshed,
+                true => Heard::Stale,
+                false => Heard::Behind,
+            };
+        }
+        if !is_newer && !leaves {
+            return Heard::Stale;
+        }
+        let mark = announce.mark(id);
+        let is_changed = mark != known.mark;
+        let sequence = held.sequence;
+        known.announce = announce.clone();
+        if is_same {
+            known.announce.sequence = announce.sequence.max(sequence);
+        } else {
+            known.health = Health::default();
+        }
+        known.heard_ms = known.heard_ms.max(heard_ms);
+        if !is_changed {
+            return Heard::Refreshed;
+        }
+        self.ids.remove(&known.mark);
+        known.mark = mark;
+        self.ids.insert(mark, id.into());
+        self.divide_one(id);
+        Heard::Changed
+    }
+
+    fn insert(&mut self, id: &str, announce: &Announce, heard_ms: u64) -> Heard {
+        if self.known.len() >= ROWS {
+            return Heard::Full;
+        }
+        let mark = announce.mark(id);
+        let known = Known {
+            announce: announce.clone(),
+            mark,
+            heard_ms,
+            heard_directly_ms: None,
+            used: 0,
+            share: 0,
+            loan: 0,
+            connections: 0,
+            health: Health::default(),
+        };
+        self.known.insert(id.into(), known);
+        self.ids.insert(mark, id.into());
+        self.divide_one(id);
+        Heard::Changed
+    }
+
+    /// Notes the live entries, and divides slots anew where they changed.
+    pub fn set_entries(&mut self, entries: &[String]) {
+        if self.entries == entries {
+            return;
+        }
+        self.entries = entries.to_vec();
+        let ids: Vec<String> = self.known.keys().cloned().collect();
+        for id in ids {
+            self.divide_one(&id);
+        }
+    }
+
+    fn divide_one(&mut self, id: &str) {
+        let Some(known) = self.known.get_mut(id) else { return };
+        let most = known.announce.connections.min(self.most_connections);
+        known.share = share::part(known.announce.slots, id, &self.entries, &self.own);
+        known.connections = share::part(most, id, &self.entries, &self.own);
+        known.loan = 0;
+    }
+
+    /// Drops what was not heard of for long.
+    pub fn sweep(&mut self, now_ms: u64) {
+        let ids = &mut self.ids;
+        self.known.retain(|_, known| {
+            let keep_ms = match known.announce.state {
+                State::Serving => FORGET_MS,
+                State::Leaving => LEAVING_MS,
+            };
+            let keep = known.used > 0 || known.heard_ms + keep_ms > now_ms;
+            if !keep {
+                ids.remove(&known.mark);
+            }
+            keep
+        });
+        self.peers.retain(|_, peer| peer.heard_ms + FORGET_MS > now_ms);
+    }
+
+    /// A link to an entry came up: its clock may be another one.
+    pub fn link(&mut self, peer: &str) {
+        self.peers.remove(peer);
+    }
+
+    /// Heartbeats for the upstreams that announced themselves here since the last call.
+    pub fn beats(&mut self, now_ms: u64) -> Beats {
+        let mut beats = Vec::new();
+        for known in self.known.values_mut() {
+            let Some(heard_ms) = known.heard_directly_ms.take() else { continue };
+            beats.push(Beat(known.mark, known.announce.sequence, now_ms.saturating_sub(heard_ms)));
+        }
+        Beats { sent_ms: now_ms, beats }
+    }
+
+    /// Takes another entry's heartbeats. Returns the marks that are unknown here.
+    ///
+    /// Heartbeats that waited on the way count from when they were sent, by the least offset
+    /// between the two clocks that was seen.
+    pub fn hear_beats(&mut self, from: &str, beats: &Beats, now_ms: u64) -> Vec<Mark> {
+        let peer = self.peer(from, now_ms);
+        let offset = now_ms as i64 - beats.sent_ms as i64;
+        let least = peer.least_offset_ms.map_or(offset, |least| least.min(offset));
+        peer.least_offset_ms = Some(least);
+        let late_ms = (offset - least) as u64;
+        let mut unknown = Vec::new();
+        for Beat(mark, sequence, age_ms) in &beats.beats {
+            let Some(known) = self.ids.get(mark).and_then(|id| self.known.get_mut(id)) else {
+                unknown.push(*mark);
+                continue;
+            };
+            if *sequence <= known.announce.sequence {
+                continue;
+            }
+            known.announce.sequence = *sequence;
+            let heard_ms = now_ms.saturating_sub(late_ms.saturating_add(*age_ms));
+            known.heard_ms = known.heard_ms.max(heard_ms);
+        }
+        unknown
+    }
+
+    /// Rows that another entry asks for.
+    pub fn wanted(&self, marks: &[Mark], now_ms: u64) -> Vec<Delta> {
+        let mut deltas = Vec::new();
+        for mark in marks {
+            let Some(id) = self.ids.get(mark) else { continue };
+            deltas.extend(self.delta(id, now_ms));
+        }
+        deltas
+    }
+
+    /// The row of an upstream, as told to other entries.
+    pub fn delta(&self, id: &str, now_ms: u64) -> Option<Delta> {
+        let known = self.known.get(id)?;
+        let age_ms = now_ms.saturating_sub(known.heard_ms);
+        Some(Delta { id: id.into(), announce: known.announce.clone(), age_ms })
+    }
+
+    /// All rows within their time to live, for a freshly linked entry.
+    pub fn all(&self, now_ms: u64) -> Vec<Delta> {
+        let mut deltas = Vec::new();
+        for (id, known) in &self.known {
+            if known.announce.state == State::Leaving || known.is_live(now_ms) {
+                deltas.extend(self.delta(id, now_ms));
+            }
+        }
+        deltas
+    }
+
+    /// Load of this entry, and the start of a new period of borrowing.
+    pub fn load(&mut self, waiting: u32, now_ms: u64) -> Load {
+        self.lend(waiting, now_ms);
+        let mut used = Vec::new();
+        for known in self.known.values() {
+            if known.used > 0 {
+                used.push(Used(known.mark.low(), known.used));
+            }
+        }
+        Load { waiting, used }
+    }
+
+    /// Takes another entry's load.
+    pub fn hear_load(&mut self, from: &str, load: Load, now_ms: u64) {
+        let peer = self.peer(from, now_ms);
+        peer.load = load;
+        peer.heard_ms = now_ms;
+    }
+
+    fn peer(&mut self, name: &str, now_ms: u64) -> &mut Peer {
+        self.peers.entry(name.into()).or_insert_with(|| Peer {
+            load: Load::default(),
+            heard_ms: now_ms,
+            least_offset_ms: None,
+        })
+    }
+
+    // What others leave idle is divided among the entries where requests wait, as all of them see
+    // it; the division holds until the next load is told.
+    fn lend(&mut self, waiting: u32, now_ms: u64) {
+        let mut pressed = Vec::new();
+        let mut others: BTreeMap<u32, u32> = BTreeMap::new();
+        let mut heard = 1;
+        for entry in &self.entries {
+            if *entry == self.own {
+                pressed.extend((waiting > 0).then(|| entry.clone()));
+                continue;
+            }
+            let Some(peer) = self.peers.get(entry) else { continue };
+            if peer.heard_ms + LOAD_MS <= now_ms {
+                continue;
+            }
+            heard += 1;
+            pressed.extend((peer.load.waiting > 0).then(|| entry.clone()));
+            for Used(low, used) in &peer.load.used {
+                *others.entry(*low).or_default() += used;
+            }
+        }
+        // The load of an entry that can't be heard is unknown: nothing is borrowed.
+        let may_borrow = waiting > 0 && heard >= self.entries.len();
+        for (id, known) in &mut self.known {
+            let other = others.get(&known.mark.low()).copied().unwrap_or(0);
+            let idle = known.announce.slots.saturating_sub(other + known.used);
+            known.loan = match may_borrow {
+                true => known.used + share::part(idle, id, &pressed, &self.own),
+                false => 0,
+            };
+        }
+    }
+
+    /// Picks the less loaded of two upstreams that serve the kind, from the best group that has a
+    /// free slot: own share near, own share far, borrowed. Takes the slot. Upstreams in `but`
+    /// already failed this request.
+    pub fn pick(
+        &mut self,
+        kind: &str,
+        but: &[String],
+        now_ms: u64,
+        rng: &mut impl Rng,
+    ) -> Option<Pick> {
+        let (mut near, mut far, mut borrowed) = (Vec::new(), Vec::new(), Vec::new());
+        for (id, known) in &self.known {
+            if !known.is_open(kind, now_ms) || but.contains(id) || known.used >= known.connections {
+                continue;
+            }
+            if known.used < known.share && known.announce.zone == self.zone {
+                near.push((id, known.used));
+            } else if known.used < known.share {
+                far.push((id, known.used));
+            } else if known.used < known.loan {
+                borrowed.push((id, known.used));
+            }
+        }
+        let (group, reason) = if !near.is_empty() {
+            (near, Reason::Near)
+        } else if !far.is_empty() {
+            (far, Reason::Far)
+        } else {
+            (borrowed, Reason::Borrowed)
+        };
+        let candidates = group.len();
+        let two = group.sample(rng, 2);
+        let id = two.min_by_key(|(_, used)| *used).map(|(id, _)| (*id).clone())?;
+        let known = self.known.get_mut(&id)?;
+        known.used += 1;
+        known.health.start();
+        let address = known.announce.address;
+        let upstream = Upstream { id, address, connections: known.connections };
+        Some(Pick { upstream, candidates, reason })
+    }
+
+    /// Gives a slot back.
+    pub fn release(&mut self, id: &str) {
+        if let Some(known) = self.known.get_mut(id) {
+            known.used = known.used.saturating_sub(1);
+        }
+    }
+
+    /// Notes how an exchange ended. Returns whether the upstream was ejected by it.
+    pub fn end(&mut self, id: &str, end: End, now_ms: u64) -> bool {
+        let live = self.live(now_ms);
+        let ejected = self.known.values().filter(|known| known.health.is_ejected()).count();
+        let Some(known) = self.known.get_mut(id) else { return false };
+        match end {
+            End::Answered => known.health.succeed(),
+            End::Unused => known.health.leave(),
+            End::Failed => return known.health.fail(now_ms, may_eject(ejected, live)),
+        }
+        false
+    }
+
+    /// Marks an upstream as leaving on an operator's word.
+    pub fn drain(&mut self, id: &str) -> Option<Delta> {
+        let mut announce = self.known.get(id)?.announce.clone();
+        announce.state = State::Leaving;
+        let heard_ms = self.known.get(id)?.heard_ms;
+        self.hear_of(id, &announce, heard_ms);
+        self.delta(id, heard_ms)
+    }
+
+    /// Number of upstreams heard of within the time to live.
+    pub fn live(&self, now_ms: u64) -> usize {
+        self.known.values().filter(|known| known.is_live(now_ms)).count()
+    }
+
+    /// Slots that this entry may use for a kind now.
+    pub fn capacity(&self, kind: &str, now_ms: u64) -> u32 {
+        let mut slots = 0;
+        for known in self.known.values() {
+            if known.is_open(kind, now_ms) {
+                slots += known.share.max(known.loan).min(known.connections);
+            }
+        }
+        slots
+    }
+
+    /// Rows for operators.
+    pub fn rows(&self, now_ms: u64) -> Vec<Row> {
+        let mut rows = Vec::new();
+        for (id, known) in &self.known {
+            rows.push(Row {
+                id: id.clone(),
+                announce: known.announce.clone(),
+                silent_ms: now_ms.saturating_sub(known.heard_ms),
+                used: known.used,
+            });
+        }
+        rows
+    }
+}
+
+impl Known {
+    fn is_live(&self, now_ms: u64) -> bool {
+        self.heard_ms + TTL_MS > now_ms
+    }
+
+    fn is_open(&self, kind: &str, now_ms: u64) -> bool {
+        let is_serving = self.announce.state == State::Serving && self.is_live(now_ms);
+        is_serving && self.announce.kinds.contains(kind) && self.health.is_open(now_ms)
+    }
+}
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -1,13 +1,37 @@
-//! Upstreams known to an entry: soft state with a time to live.
+//! What upstreams announce, and how entries tell one another of them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use rand::seq::IndexedRandom;
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::state::document::is_name;
+
+/// Result of checking an announcement.
+pub type Result<T> = std::result::Result<T, Fault>;
 
 /// Milliseconds after which an upstream that is not heard of again gets no new work.
 pub const TTL_MS: u64 = 3_000;
+/// Most kinds that one upstream may serve.
+const KINDS: usize = 64;
+/// Most slots or connections that one upstream may announce.
+const SLOTS: u32 = 10_000;
+
+/// A bound that an announcement exceeds.
+#[derive(Clone, Copy, Debug, Display, derive_more::Error, PartialEq, Eq)]
+pub enum Fault {
+    /// Too many kinds.
+    #[display("more than {KINDS} kinds")]
+    Kinds,
+    /// A kind or zone that is not a name.
+    #[display("a kind or the zone is not 1 to 64 of a-z, 0-9, - and _")]
+    Name,
+    /// Too many slots or connections.
+    #[display("more than {SLOTS} slots or connections")]
+    Slots,
+}
 
 /// An upstream's announcement of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,15 +72,51 @@
     pub id: String,
     /// Its latest announcement.
     pub announce: Announce,
+    /// Milliseconds since the sender heard of it.
+    pub age_ms: u64,
 }
 
-/// Load of one entry's share of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Stands for an upstream and all that it announced but for the sequence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Mark(pub u64);
+
+/// News that an unchanged upstream announced itself again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat(
+    /// Upstream and content.
+    pub Mark,
+    /// Sequence of its latest announcement.
+    pub u64,
+    /// Milliseconds between that announcement and this beat.
+    pub u64,
+);
+
+/// Heartbeats of the upstreams that announce themselves to the sender.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beats {
+    /// When they were sent, on the sender's clock, in milliseconds.
+    pub sent_ms: u64,
+    /// One for each upstream heard of since the last ones.
+    pub beats: Vec<Beat>,
+}
+
+/// Slots of one upstream that the sender uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Used(
+    /// Low half of the mark; a collision misleads a hint only.
+    pub u32,
+    /// Slots in use.
+    pub u32,
+);
+
+/// Load of an entry; replaces the one before.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// Upstream.
-    pub id: String,
-    /// Slots that the sender uses.
-    pub used: u32,
+    /// Requests that wait at the sender.
+    pub waiting: u32,
+    /// Upstreams of which the sender uses slots.
+    pub used: Vec<Used>,
 }
 
 /// An upstream that was picked.
@@ -66,6 +126,8 @@
     pub id: String,
     /// Address.
     pub address: SocketAddr,
+    /// Connections that this entry may hold to it.
+    pub connections: u32,
 }
 
 /// Row for operators.
@@ -81,107 +143,48 @@
     pub used: u32,
 }
 
-#[derive(Debug)]
-struct Known {
-    announce: Announce,
-    heard_ms: u64,
-    used: u32,
-}
-
-/// Upstreams by id.
-#[derive(Debug)]
-pub struct Table {
-    zone: String,
-    known: BTreeMap<String, Known>,
-}
-
-impl Table {
-    /// An empty table of an entry in this zone.
-    pub fn new(zone: &str) -> Self {
-        Self { zone: zone.into(), known: BTreeMap::new() }
-    }
-
-    /// Takes an announcement, heard directly or through another entry. Returns whether it is
-    /// news that other entries want.
-    pub fn hear(&mut self, id: &str, announce: &Announce, now_ms: u64) -> bool {
-        let Some(known) = self.known.get_mut(id) else {
-            let known = Known { announce: announce.clone(), heard_ms: now_ms, used: 0 };
-            self.known.insert(id.into(), known);
-            return true;
-        };
-        let held = (known.announce.incarnation, known.announce.sequence);
-        let told = (announce.incarnation, announce.sequence);
-        if told <= held {
-            return false;
+impl Announce {
+    /// Checks the bounds that keep the table small.
+    ///
+    /// # Errors
+    /// The first bound that it exceeds.
+    pub fn check(&self) -> Result<()> {
+        if self.kinds.len() > KINDS {
+            return Err(Fault::Kinds);
         }
-        // Leaving is final for an incarnation, whatever arrives late.
-        let same = known.announce.incarnation == announce.incarnation;
-        let left = same && known.announce.state == State::Leaving;
-        known.announce = announce.clone();
-        if left {
-            known.announce.state = State::Leaving;
+        if !is_name(&self.zone) || !self.kinds.iter().all(|kind| is_name(kind)) {
+            return Err(Fault::Name);
         }
-        known.heard_ms = now_ms;
-        true
-    }
-
-    /// Picks the less loaded of two upstreams that serve the kind and have a free slot, in the
-    /// own zone first; takes the slot and tells how many candidates there were.
-    pub fn pick(&mut self, kind: &str, now_ms: u64) -> Option<(Upstream, usize)> {
-        let mut near = Vec::new();
-        let mut far = Vec::new();
-        for (id, known) in &self.known {
-            let open = known.announce.state == State::Serving && known.heard_ms + TTL_MS > now_ms;
-            if !open || known.used >= known.announce.slots || !known.announce.kinds.contains(kind) {
-                continue;
-            }
-            if known.announce.zone == self.zone {
-                near.push((id, known.used));
-            } else {
-                far.push((id, known.used));
-            }
+        if self.slots.max(self.connections) > SLOTS {
+            return Err(Fault::Slots);
         }
-        let candidates = if near.is_empty() { far } else { near };
-        let count = candidates.len();
-        let two = candidates.sample(&mut rand::rng(), 2);
-        let id = two.min_by_key(|(_, used)| *used).map(|(id, _)| (*id).clone())?;
-        let known = self.known.get_mut(&id)?;
-        known.used += 1;
-        let address = known.announce.address;
-        Some((Upstream { id, address }, count))
+        Ok(())
     }
 
-    /// Gives a slot back.
-    pub fn release(&mut self, id: &str) {
-        if let Some(known) = self.known.get_mut(id) {
-            known.used = known.used.saturating_sub(1);
+    /// Mark of this content under an id; equal in every process.
+    pub fn mark(&self, id: &str) -> Mark {
+        let mut hasher = Sha256::new();
+        hasher.update(id.as_bytes());
+        hasher.update([0, u8::from(self.state == State::Leaving)]);
+        hasher.update(self.address.to_string().as_bytes());
+        hasher.update([0]);
+        hasher.update(self.zone.as_bytes());
+        hasher.update(self.slots.to_le_bytes());
+        hasher.update(self.connections.to_le_bytes());
+        hasher.update(self.incarnation.to_le_bytes());
+        for kind in &self.kinds {
+            hasher.update(kind.as_bytes());
+            hasher.update([0]);
         }
+        let mut first = [0; 8];
+        first.copy_from_slice(&hasher.finalize()[..8]);
+        Mark(u64::from_le_bytes(first))
     }
+}
 
-    /// Marks an upstream as leaving on an operator's word; `false` where it is unknown.
-    pub fn drain(&mut self, id: &str) -> Option<Delta> {
-        let known = self.known.get_mut(id)?;
-        known.announce.state = State::Leaving;
-        known.announce.sequence += 1;
-        Some(Delta { id: id.into(), announce: known.announce.clone() })
-    }
-
-    /// Number of upstreams heard of within the time to live.
-    pub fn live(&self, now_ms: u64) -> usize {
-        self.known.values().filter(|known| known.heard_ms + TTL_MS > now_ms).count()
-    }
-
-    /// Rows for operators.
-    pub fn rows(&self, now_ms: u64) -> Vec<Row> {
-        let mut rows = Vec::new();
-        for (id, known) in &self.known {
-            rows.push(Row {
-                id: id.clone(),
-                announce: known.announce.clone(),
-                silent_ms: now_ms.saturating_sub(known.heard_ms),
-                used: known.used,
-            });
-        }
-        rows
+impl Mark {
+    /// Its low half.
+    pub fn low(self) -> u32 {
+        self.0 as u32
     }
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod cluster;
+pub mod hostile;
 pub mod upstream;
 pub mod worker;
 
--- a/tests/support/upstream.rs
+++ b/tests/support/upstream.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use eelgrassvalve::client::Client;
 use eelgrassvalve::entry::platform::Announced;
+use eelgrassvalve::routing::connection::NUMBER;
 use eelgrassvalve::routing::upstream::{Announce, State};
 use http::Method;
 use http_body_util::{BodyExt, Full};
@@ -126,6 +127,8 @@
     work: Duration,
 ) -> Result<http::Response<Full<Bytes>>, Infallible> {
     let kind = request.uri().path().rsplit('/').next().unwrap_or("").to_string();
+    let number = request.headers().get(NUMBER).cloned();
+    let number = number.unwrap_or(http::HeaderValue::from_static(""));
     let Ok(payload) = request.into_body().collect().await else {
         return Ok(http::Response::new(Full::new(Bytes::from_static(b"broken"))));
     };
@@ -135,5 +138,6 @@
     tokio::time::sleep(work).await;
     let mut body = format!("{kind}:").into_bytes();
     body.extend_from_slice(&payload);
-    Ok(http::Response::new(Full::new(body.into())))
+    let answer = http::Response::builder().header(NUMBER, number).body(Full::new(body.into()));
+    Ok(answer.expect("the number is a header value"))
 }
