--- a/src/entry/claimed.rs
+++ b/src/entry/claimed.rs
@@ -5,12 +5,11 @@
 
 use sha2::{Digest, Sha256};
 
-use super::request::{Asked, no_lease};
+use super::request::{self, Asked};
 use super::{Entry, InFlight};
 use crate::error::{Code, Error, Result};
 use crate::mesh::call::{Answer as CallAnswer, Call};
 use crate::routing::Request;
-use crate::routing::attempt::Attempt;
 use crate::state::claim::{self, Answer, Grant, Key, Outcome, Settlement};
 use crate::state::{Command, Reply};
 use crate::telemetry::Metrics;
@@ -94,7 +93,7 @@
     claim: &claim::Request,
     in_flight: &Arc<InFlight>,
 ) -> Result<Answer> {
-    let sent = send_once(entry, request).await;
+    let sent = request::send(entry, request).await;
     let outcome = match &sent {
         Ok(answer) => Outcome::Ran(answer.clone()),
         Err(error) if error.verdict == Verdict::NotRun => Outcome::Released,
@@ -104,17 +103,6 @@
     sent
 }
 
-async fn send_once(entry: &Arc<Entry>, request: &Request) -> Result<Answer> {
-    let attempt = Attempt::new();
-    let slot = entry.router.pick(request, &attempt).await?;
-    let now_ms = entry.timer.now_ms();
-    // A process that was frozen and resumes sends nothing on a lapsed lease.
-    if !entry.standing.lock().holds_lease(now_ms) {
-        return Err(no_lease());
-    }
-    entry.router.send(request, &slot, attempt.claimed()).await
-}
-
 // Another attempt owns the claim: its outcome is this request's outcome too.
 async fn follow(entry: &Entry, request: &Request, key: Key) -> Result<Grant> {
     loop {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -9,7 +9,7 @@
 use super::{Entry, InFlight, claimed};
 use crate::error::{Code, Error, Result};
 use crate::routing::Request;
-use crate::routing::attempt::Attempt;
+use crate::routing::limit::Hold;
 use crate::state::claim::Answer;
 use crate::telemetry::Metrics;
 use crate::verdict::Verdict;
@@ -42,11 +42,12 @@
 
 async fn run(entry: &Arc<Entry>, asked: Asked, in_flight: &Arc<InFlight>) -> Result<Answer> {
     let request = admit(entry, &asked)?;
+    let _held = hold(entry, &request)?;
     let Some(key) = &asked.key else {
-        return send_idempotent(entry, &request).await;
+        return send(entry, &request).await;
     };
     if asked.is_idempotent {
-        return send_idempotent(entry, &request).await;
+        return send(entry, &request).await;
     }
     claimed::serve(entry, &request, &asked, key, in_flight).await
 }
@@ -67,10 +68,10 @@
         let message = format!("no kind `{}` in the configuration", asked.kind);
         return Err(Error::not_run(Code::NotFound, message));
     };
-    if document.customer(&asked.customer).is_none() {
+    let Some(customer) = document.customer(&asked.customer) else {
         let message = format!("no customer `{}` in the configuration", asked.customer);
         return Err(Error::not_run(Code::Forbidden, message));
-    }
+    };
     if !asked.is_idempotent && asked.key.is_none() {
         let message = "a request that is not idempotent needs an Idempotency-Key";
         return Err(Error::not_run(Code::BadRequest, message));
@@ -78,7 +79,9 @@
     Ok(Request {
         number: entry.next_request.fetch_add(1, Ordering::Relaxed),
         kind: asked.kind.clone(),
+        rank: kind.rank,
         customer: asked.customer.clone(),
+        share: customer.share,
         payload: asked.payload.clone(),
         content_type: asked.content_type.clone(),
         is_idempotent: asked.is_idempotent,
@@ -86,13 +89,36 @@
     })
 }
 
+// Takes this entry's part of the customer's limits, until the request ends.
+fn hold(entry: &Entry, request: &Request) -> Result<Hold> {
+    let (document, entries) = {
+        let standing = entry.standing.lock();
+        (standing.document.clone(), standing.entries.len() as u32)
+    };
+    let limits = document.customer(&request.customer).map(|customer| customer.limits);
+    let limits = limits.unwrap_or_default();
+    let bytes = request.payload.len() as u64;
+    let now_ms = entry.timer.now_ms();
+    let held = entry.router.limits.admit(&request.customer, &limits, entries, bytes, now_ms);
+    held.map_err(|exceeded| {
+        let error = Error::not_run(Code::OverLimit, exceeded.to_string());
+        error.retry_after(Duration::from_secs(1))
+    })
+}
+
 pub(super) fn no_lease() -> Error {
     let error = Error::not_run(Code::NoLease, "this entry holds no lease from the control members");
     error.retry_after(Duration::from_secs(1))
 }
 
-async fn send_idempotent(entry: &Arc<Entry>, request: &Request) -> Result<Answer> {
-    let attempt = Attempt::new();
-    let slot = entry.router.pick(request, &attempt).await?;
-    entry.router.send(request, &slot, attempt.claimed()).await
+pub(super) async fn send(entry: &Arc<Entry>, request: &Request) -> Result<Answer> {
+    let gate = || {
+        let now_ms = entry.timer.now_ms();
+        // A process that was frozen and resumes sends nothing on a lapsed lease.
+        match entry.standing.lock().holds_lease(now_ms) {
+            true => Ok(()),
+            false => Err(no_lease()),
+        }
+    };
+    entry.router.run(request, &gate).await
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cluster;
 pub mod history;
+pub mod hostile;
 pub mod raw;
 pub mod relay;
 pub mod replay;
