--- a/src/client.rs
+++ b/src/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode};
 use http_body_util::BodyExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -47,7 +47,7 @@
     /// Sends a request and reads the whole answer, whatever its status.
     ///
     /// # Errors
-    /// `may_have_run` where no whole answer came.
+    /// `not_run` where nothing was sent; `may_have_run` where no whole answer came.
     pub async fn send(
         &self,
         method: Method,
@@ -59,14 +59,21 @@
             Error::may_have_run(Code::NoQuorum, format!("{}: {e}", self.address))
         };
         let uri = format!("http://{}{path}", self.address);
+        let unsendable =
+            |what: &str| Error::not_run(Code::BadRequest, format!("{what} is malformed"));
+        let uri: http::Uri = uri.parse().map_err(|_| unsendable("the path"))?;
         let mut request = self.http.request(method, uri).data(body);
         for (name, value) in headers {
-            request = request.header(*name, *value);
+            let value = HeaderValue::from_str(value).map_err(|_| unsendable(name))?;
+            request = request.header(*name, value);
         }
         if let Some(token) = &self.token {
             request = request.header("authorization", format!("Bearer {token}"));
         }
-        let response = request.send().await.map_err(|e| broken(&e))?;
+        let response = request.send().await.map_err(|e| match is_refused(&e) {
+            true => Error::not_run(Code::NoQuorum, format!("{}: nobody listens", self.address)),
+            false => broken(&e),
+        })?;
         let (head, body) = response.into_parts();
         let verdict = head.headers.get(verdict::HEADER).and_then(|value| value.to_str().ok());
         let verdict = verdict.and_then(Verdict::parse);
@@ -99,6 +106,19 @@
     }
 }
 
+// A refused connection carried no byte.
+fn is_refused(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut source = Some(error);
+    while let Some(error) = source {
+        let io = error.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
+
 impl Answer {
     /// The JSON of a success, or the typed error.
     ///
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -33,6 +33,12 @@
             .help("Operator request id; a resend with the same id gets the first outcome");
         Command::new("config")
             .about("The configuration document")
+            .after_help(
+                "Examples:\n  eelgrassvalve config check config.json\n  \
+                 eelgrassvalve config apply config.json --version 7 --request-id change-12\n\n\
+                 `apply` prints `in_force` once every live entry serves by the new version, and\n\
+                 `accepted` where it is committed but some entry has not confirmed it yet.",
+            )
             .subcommand_required(true)
             .subcommand(Command::new("get").about("Prints version and document"))
             .subcommand(Command::new("check").about("Names every fault of a document").arg(file()))
--- a/src/cmd/job.rs
+++ b/src/cmd/job.rs
@@ -56,6 +56,12 @@
         let key = Arg::new("key").long("key").value_name("KEY").help("Idempotency key");
         Command::new("job")
             .about("Jobs")
+            .after_help(
+                "Examples:\n  eelgrassvalve job submit job.json --key night-1\n  \
+                 eelgrassvalve job wait kochi-dispatch.night-1\n\nA job file:\n  \
+                 {\"kind\": \"menu-training\", \"parts\": 2, \"accelerators\": 8, \
+                 \"payload\": \"epoch 7\"}",
+            )
             .subcommand_required(true)
             .subcommand(Command::new("submit").about("Submits a job").args([file, key]))
             .subcommand(Command::new("get").about("Prints a job").arg(id()))
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -11,6 +11,7 @@
 mod remote;
 mod request;
 mod serve;
+mod token;
 mod upstreams;
 
 use std::process::ExitCode;
@@ -37,16 +38,42 @@
 /// Exit code for faults of the input.
 const USAGE: u8 = 2;
 
+const DAEMON_HELP: &str = "\
+First start of a cluster, on one control host only:
+  eelgrassvalved check --settings host-1.toml
+  eelgrassvalved bootstrap --settings host-1.toml
+  eelgrassvalved serve --settings host-1.toml
+Every other host only serves; `eelgrassvalve members add NAME` makes it a voter.
+SIGTERM asks for a planned stop. EELGRASSVALVE_LOG filters the log, as in info,decision=off.";
+
+const TOOL_HELP: &str = "\
+Examples:
+  eelgrassvalve --operators 10.0.0.1:7002 status
+  eelgrassvalve config get --output json
+  eelgrassvalve config apply config.json
+  eelgrassvalve job submit job.json --key night-1
+  eelgrassvalve job wait kochi-dispatch.night-1
+  eelgrassvalve request plan 'round 7' --key round-7
+
+Exit codes:
+  0  ran: the answer is on standard output
+  1  ran, but failed or its answer is gone; `job wait`: the job did not finish
+  2  the arguments or a file are at fault; `config check`: the document has faults
+  3  not run: it is safe to send again
+  4  may have run: send again only under the same key";
+
 /// The daemon's command line.
 pub fn daemon() -> Tool {
     Tool {
         name: "eelgrassvalved",
         about: "Daemon of eelgrassvalve, a scheduler for multi-accelerator jobs",
+        help: DAEMON_HELP,
         remote: false,
         commands: vec![
             Box::new(serve::Serve),
             Box::new(serve::Bootstrap),
             Box::new(check::Check),
+            Box::new(token::Token),
             Box::new(completions::Completions { of: daemon }),
         ],
     }
@@ -57,6 +84,7 @@
     Tool {
         name: "eelgrassvalve",
         about: "Drives eelgrassvalve: configuration, jobs, requests and status",
+        help: TOOL_HELP,
         remote: true,
         commands: vec![
             Box::new(config::Config),
@@ -76,6 +104,7 @@
 pub struct Tool {
     name: &'static str,
     about: &'static str,
+    help: &'static str,
     remote: bool,
     commands: Vec<Box<dyn Run>>,
 }
@@ -85,6 +114,7 @@
     pub fn command(&self) -> Command {
         let mut command = Command::new(self.name)
             .about(self.about)
+            .after_help(self.help)
             .version(env!("CARGO_PKG_VERSION"))
             .subcommand_required(true)
             .arg_required_else_help(true);
--- a/src/cmd/output.rs
+++ b/src/cmd/output.rs
@@ -18,40 +18,95 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// A list of objects as columns, an object as rows of key and value.
+/// A list of objects as columns; an object as rows of key and value, its lists below.
 pub(super) fn table(value: &Value) -> String {
     match value {
         Value::Array(items) => columns(items),
-        Value::Object(fields) => {
-            let mut rows = Vec::new();
-            for (key, field) in fields {
-                rows.push(vec![key.clone(), cell(field)]);
+        Value::Object(_) => sections(value),
+        other => format!("{}\n", cell(other)),
+    }
+}
+
+fn sections(value: &Value) -> String {
+    let mut fields = Vec::new();
+    flatten("", value, &mut fields);
+    let mut rows = Vec::new();
+    let mut lists = String::new();
+    for (key, field) in fields {
+        match field {
+            Value::Array(items) if items.iter().any(Value::is_object) => {
+                lists.push_str(&format!("\n{key}:\n{}", columns(items)));
             }
-            align(&rows)
+            field => rows.push(vec![key, cell(field)]),
         }
-        other => format!("{}\n", cell(other)),
     }
+    align(&rows) + &lists
 }
 
 fn columns(items: &[Value]) -> String {
-    let mut rows = Vec::new();
+    if items.is_empty() {
+        return "none\n".into();
+    }
+    let mut keys: Vec<String> = Vec::new();
+    let mut lines = Vec::new();
     for item in items {
-        let Value::Object(fields) = item else {
-            rows.push(vec![cell(item)]);
-            continue;
-        };
-        if rows.is_empty() {
-            rows.push(fields.keys().map(|key| key.to_uppercase()).collect());
+        let mut fields = Vec::new();
+        flatten("", item, &mut fields);
+        for (key, _) in &fields {
+            if !keys.contains(key) {
+                keys.push(key.clone());
+            }
         }
-        rows.push(fields.values().map(cell).collect());
+        lines.push(fields);
+    }
+    // What names a row goes first.
+    keys.sort_by_key(|key| !matches!(key.as_str(), "id" | "name"));
+    let mut rows = vec![headings(&keys)];
+    for fields in lines {
+        let mut row = Vec::new();
+        for key in &keys {
+            let found = fields.iter().find(|(name, _)| name == key);
+            row.push(found.map_or("-".into(), |(_, field)| cell(field)));
+        }
+        rows.push(row);
     }
     align(&rows)
 }
 
+// The last step of a path is enough where no other column ends alike.
+fn headings(keys: &[String]) -> Vec<String> {
+    let last = |key: &str| key.rsplit('.').next().unwrap_or("").to_uppercase();
+    let mut headings = Vec::new();
+    for key in keys {
+        let short = last(key);
+        let alike = keys.iter().filter(|other| last(other) == short).count();
+        headings.push(if alike > 1 { key.to_uppercase() } else { short });
+    }
+    headings
+}
+
+fn flatten<'a>(prefix: &str, value: &'a Value, fields: &mut Vec<(String, &'a Value)>) {
+    let Value::Object(inner) = value else {
+        fields.push((prefix.into(), value));
+        return;
+    };
+    for (key, field) in inner {
+        let path = if prefix.is_empty() { key.clone() } else { format!("{prefix}.{key}") };
+        flatten(&path, field, fields);
+    }
+}
+
 fn cell(value: &Value) -> String {
     match value {
         Value::String(text) => text.clone(),
         Value::Null => "-".into(),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            format!("{} items", items.len())
+        }
+        Value::Array(items) => {
+            let texts: Vec<String> = items.iter().map(cell).collect();
+            if texts.is_empty() { "none".into() } else { texts.join(",") }
+        }
         other => other.to_string(),
     }
 }
--- a/src/cmd/request.rs
+++ b/src/cmd/request.rs
@@ -24,9 +24,16 @@
         let deadline = Arg::new("deadline-ms")
             .long("deadline-ms")
             .value_name("MS")
-            .value_parser(value_parser!(u64));
+            .value_parser(value_parser!(u64).range(1..))
+            .help("Milliseconds until the answer is no longer wanted; the kind's own where absent");
         Command::new("request")
             .about("Sends a request; the exit code tells the verdict: 0 ran, 3 not run, 4 may have run")
+            .after_help(
+                "Without --key a fresh key is made and printed on standard error, so that the\n\
+                 request can be sent again under it.\n\n\
+                 Examples:\n  eelgrassvalve request plan 'round 7' --key round-7\n  \
+                 eelgrassvalve request menu-check --idempotent < menu.txt",
+            )
             .args([kind, payload, key, idempotent, deadline])
     }
 
@@ -41,7 +48,11 @@
             }
         };
         let key = matches.get_one::<String>("key").cloned();
-        let key = key.unwrap_or_else(|| uuid::Uuid::now_v7().to_string());
+        let key = key.unwrap_or_else(|| {
+            let fresh = uuid::Uuid::now_v7().to_string();
+            eprintln!("key {fresh}");
+            fresh
+        });
         let idempotent = matches.get_flag("idempotent").to_string();
         let deadline = matches.get_one::<u64>("deadline-ms").map(u64::to_string);
         let mut headers =
--- /dev/null
+++ b/src/cmd/token.rs
@@ -0,0 +1,31 @@
+//! `eelgrassvalved token`: the digest of a bearer token.
+
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+use miette::IntoDiagnostic;
+
+use super::Run;
+use crate::entry::token::digest;
+
+/// Prints the digest of a token for the token file.
+pub(super) struct Token;
+
+impl Run for Token {
+    fn command(&self) -> Command {
+        Command::new("token")
+            .about("Reads a token from standard input and prints its SHA-256 for the token file")
+            .after_help("Example:\n  printf %s \"$TOKEN\" | eelgrassvalved token")
+    }
+
+    fn run(&self, _matches: &ArgMatches) -> super::Result {
+        let text = std::io::read_to_string(std::io::stdin()).into_diagnostic()?;
+        let token = text.trim_end_matches(['\r', '\n']);
+        let visible = token.bytes().all(|byte| byte.is_ascii_graphic());
+        if token.is_empty() || !visible {
+            miette::bail!("a token is one or more visible ASCII characters");
+        }
+        println!("{}", digest(token));
+        Ok(ExitCode::SUCCESS)
+    }
+}
