Replica: messages and effects in files of their own; unsynced names are lost in the fault table

The fault table now also undoes creations, renames and removals whose folder was not synced; a data folder's own name is synced when it is made.

--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -4,9 +4,11 @@
 //! every earlier persist effect is synced.
 
 mod append;
+mod effect;
 mod election;
 pub mod log;
 pub mod member;
+mod message;
 mod read;
 mod snapshot;
 pub mod store;
@@ -19,8 +21,10 @@
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 
+pub use effect::{Effect, Input};
 use log::Log;
 use member::{Id, Members};
+pub use message::{Body, Message};
 
 /// Result of asking a replica for something.
 pub type Result<T> = std::result::Result<T, Refusal>;
@@ -137,190 +141,6 @@
     pub data: Arc<Bytes>,
 }
 
-/// A message between replicas.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Message {
-    /// Sender's term (a pre-vote carries the term it would campaign in).
-    pub term: u64,
-    /// Content.
-    pub body: Body,
-}
-
-/// Content of a message.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Body {
-    /// Asks for a vote.
-    Ask {
-        /// Whether this only probes if an election could be won.
-        pre: bool,
-        /// Whether the leader itself asked the candidate to campaign.
-        transfer: bool,
-        /// Candidate's last index.
-        last_index: u64,
-        /// Term of that entry.
-        last_term: u64,
-    },
-    /// Answers [`Body::Ask`].
-    Answer {
-        /// Echo of `pre`.
-        pre: bool,
-        /// Whether the vote is granted.
-        granted: bool,
-    },
-    /// Entries, or a heartbeat where there are none.
-    Append {
-        /// Index before the first entry.
-        prev_index: u64,
-        /// Term of that index.
-        prev_term: u64,
-        /// Entries, contiguous.
-        entries: Vec<Entry>,
-        /// Leader's commit index.
-        commit: u64,
-        /// Leader's clock at sending, echoed by the answer.
-        sent_ms: u64,
-    },
-    /// Answers [`Body::Append`] and [`Body::Chunk`].
-    Appended {
-        /// Last index known to match where `matches`, else a hint where to look next.
-        index: u64,
-        /// Whether the entries fitted.
-        matches: bool,
-        /// Echo of the leader's clock.
-        sent_ms: u64,
-    },
-    /// A piece of a snapshot.
-    Chunk {
-        /// Snapshot without its data.
-        head: Snapshot,
-        /// Offset of the piece in the data.
-        offset: u64,
-        /// The piece.
-        piece: Bytes,
-        /// Length of the whole data.
-        length: u64,
-        /// Leader's clock at sending, echoed by the answer.
-        sent_ms: u64,
-    },
-    /// Acknowledges a piece of an unfinished snapshot.
-    Chunked {
-        /// Index of the snapshot.
-        index: u64,
-        /// Bytes received so far, in order.
-        offset: u64,
-        /// Echo of the leader's clock.
-        sent_ms: u64,
-    },
-    /// Asks the receiver to campaign at once.
-    Campaign,
-}
-
-/// Something that happened to a replica.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// Time passed.
-    Tick,
-    /// A message arrived.
-    Message {
-        /// Sender.
-        from: Id,
-        /// Message.
-        message: Message,
-    },
-    /// A local client proposes a command.
-    Propose {
-        /// Names the proposal in later effects.
-        token: u64,
-        /// Encoded command.
-        command: Vec<u8>,
-    },
-    /// An operator changes the membership.
-    Change {
-        /// Names the proposal in later effects.
-        token: u64,
-        /// Change.
-        change: member::Change,
-    },
-    /// A local client wants to read current state.
-    Read {
-        /// Names the read in later effects.
-        token: u64,
-    },
-    /// Persist effects up to this entry are synced.
-    Synced {
-        /// Last synced index.
-        index: u64,
-        /// Term of that entry.
-        term: u64,
-    },
-    /// The machine was encoded up to an applied index: the log may be cut there.
-    Compact {
-        /// Applied index.
-        index: u64,
-        /// Encoded machine.
-        data: Vec<u8>,
-    },
-    /// Leadership is to move to the best follower.
-    Transfer,
-}
-
-/// Something the replica wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Persist term and vote.
-    Vote(Vote),
-    /// Persist entries, replacing any from the first one's index on.
-    Append(Vec<Entry>),
-    /// Persist a snapshot; log entries up to its index may go, and all where `reset`.
-    Snapshot {
-        /// The snapshot.
-        snapshot: Snapshot,
-        /// Whether the log has nothing to keep and the machine must be replaced.
-        reset: bool,
-    },
-    /// Send a message.
-    Send {
-        /// Receiver.
-        to: Id,
-        /// Message.
-        message: Message,
-    },
-    /// Apply entries to the machine.
-    Commit(Vec<Entry>),
-    /// A proposal was put at this index and term; it is decided once that index commits.
-    Proposed {
-        /// Proposal.
-        token: u64,
-        /// Index.
-        index: u64,
-        /// Term.
-        term: u64,
-    },
-    /// A proposal or read can't be served here; nothing of it was written.
-    Refused {
-        /// Proposal or read.
-        token: u64,
-        /// Why.
-        refusal: Refusal,
-    },
-    /// The state applied up to this index is current as of the read.
-    Readable {
-        /// Read.
-        token: u64,
-        /// Index that must be applied first.
-        index: u64,
-    },
-    /// Role or leader changed.
-    Role {
-        /// Whether this replica leads.
-        leads: bool,
-        /// Known leader.
-        leader: Option<Id>,
-        /// Term.
-        term: u64,
-    },
-}
-
 #[derive(Debug)]
 enum Role {
     Follower,
--- a/src/replica/store.rs
+++ b/src/replica/store.rs
@@ -118,7 +118,7 @@
     /// # Errors
     /// As for [`Store::open`].
     pub fn open_on(folder: &Path, disk: Box<dyn Disk>) -> Result<(Self, Saved)> {
-        fs::create_dir_all(folder).map_err(|e| io_error(folder, e))?;
+        create_folder(folder)?;
         let lock = lock(folder)?;
         let mut store = Self {
             folder: folder.into(),
@@ -403,6 +403,18 @@
     Ok(())
 }
 
+// A folder whose own name is not synced could vanish with all that was synced in it.
+fn create_folder(folder: &Path) -> Result<()> {
+    if folder.is_dir() {
+        return Ok(());
+    }
+    fs::create_dir_all(folder).map_err(|e| io_error(folder, e))?;
+    let Some(parent) = folder.parent().filter(|parent| !parent.as_os_str().is_empty()) else {
+        return Ok(());
+    };
+    System.sync_folder(parent).map_err(|e| io_error(parent, e))
+}
+
 fn lock(folder: &Path) -> Result<File> {
     let path = folder.join("lock");
     let mut options = OpenOptions::new();
--- a/tests/fault_disk.rs
+++ b/tests/fault_disk.rs
@@ -52,12 +52,14 @@
     dead: bool,
     // Written and synced length of each file.
     lengths: BTreeMap<PathBuf, (u64, u64)>,
+    // Files as they were before each change of names that is not synced.
+    names: Vec<(PathBuf, Option<Vec<u8>>)>,
 }
 
 impl Dying {
     fn new(point: Point, death: Death, left: usize) -> Self {
-        let lengths = BTreeMap::new();
-        Self(Arc::new(Mutex::new(State { point, death, left, dead: false, lengths })))
+        let (lengths, names) = (BTreeMap::new(), Vec::new());
+        Self(Arc::new(Mutex::new(State { point, death, left, dead: false, lengths, names })))
     }
 
     fn is_dead(&self) -> bool {
@@ -70,6 +72,12 @@
             let Ok(file) = OpenOptions::new().write(true).open(path) else { continue };
             file.set_len(*synced).expect("a file of the test can be cut");
         }
+        for (path, content) in state.names.iter().rev() {
+            match content {
+                Some(bytes) => fs::write(path, bytes).expect("the folder can be written"),
+                None => drop(fs::remove_file(path)),
+            }
+        }
     }
 
     fn act(
@@ -103,6 +111,7 @@
 impl Disk for Dying {
     fn create(&mut self, path: &Path) -> io::Result<File> {
         let create = |state: &mut State| {
+            state.names.push((path.into(), fs::read(path).ok()));
             state.lengths.insert(path.into(), (0, 0));
             File::create(path).map(|_| ())
         };
@@ -135,6 +144,7 @@
 
     fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()> {
         let rename = |state: &mut State| {
+            state.names.push((to.into(), fs::read(to).ok()));
             let lengths = state.lengths.remove(from).unwrap_or_default();
             state.lengths.insert(to.into(), lengths);
             fs::rename(from, to)
@@ -144,6 +154,7 @@
 
     fn remove(&mut self, path: &Path) -> io::Result<()> {
         let remove = |state: &mut State| {
+            state.names.push((path.into(), fs::read(path).ok()));
             state.lengths.remove(path);
             fs::remove_file(path)
         };
@@ -151,7 +162,10 @@
     }
 
     fn sync_folder(&mut self, folder: &Path) -> io::Result<()> {
-        let sync = |_: &mut State| File::open(folder).and_then(|file| file.sync_all());
+        let sync = |state: &mut State| {
+            state.names.clear();
+            File::open(folder).and_then(|file| file.sync_all())
+        };
         self.act(Point::SyncFolder, sync, |_| Ok(()))
     }
 }
--- /dev/null
+++ b/tests/support/host.rs
@@ -0,0 +1,60 @@
+//! One host's disk.
+
+use std::collections::BTreeMap;
+
+use eelgrassvalve::replica::member::{Id, Members};
+use eelgrassvalve::replica::{Effect, Entry, Payload, Saved};
+
+use super::Host;
+
+impl Host {
+    pub(super) fn new(id: Id, disk: Saved) -> Self {
+        Self {
+            id,
+            replica: None,
+            machine: Vec::new(),
+            disk,
+            applied: 0,
+            started_ms: 0,
+            clock_percent: 100,
+            restart_ms: 0,
+            pending: Vec::new(),
+            proposed: BTreeMap::new(),
+            placed: BTreeMap::new(),
+            reads: BTreeMap::new(),
+        }
+    }
+
+    /// Keeps a stopped host from starting by itself.
+    pub fn hold(&mut self) {
+        self.restart_ms = u64::MAX;
+    }
+
+    pub(super) fn persist(&mut self, effect: &Effect) -> Option<(u64, u64)> {
+        match effect {
+            Effect::Vote(vote) => self.disk.vote = *vote,
+            Effect::Append(entries) => {
+                let first = entries.first()?.index;
+                self.disk.entries.retain(|entry| entry.index < first);
+                self.disk.entries.extend(entries.iter().cloned());
+                return entries.last().map(|entry| (entry.index, entry.term));
+            }
+            Effect::Snapshot { snapshot, reset } => {
+                let keep = |entry: &Entry| !reset && entry.index > snapshot.index;
+                self.disk.entries.retain(keep);
+                self.disk.snapshot = snapshot.clone();
+            }
+            _ => {}
+        }
+        None
+    }
+
+    pub(super) fn latest_members(&self) -> Option<Members> {
+        for entry in self.disk.entries.iter().rev() {
+            if let Payload::Members(members) = &entry.payload {
+                return Some(members.clone());
+            }
+        }
+        (self.disk.snapshot.index > 0).then(|| self.disk.snapshot.members.clone())
+    }
+}
