Worker leases: none before the leader knows which entry grants them

Cause: a worker that moved to an entry that was cut off just after its own lease began got a worker lease that the leader never heard of, so with two entries cut off one after another its tasks could outlive entry lease + worker lease, after which the leader calls them dead. A first poll whose report is not answered is now refused no_lease; a worker that stays keeps its leases through a failover.

Ruled out: counting a further entry lease for each entry that may be cut off (21 s with six entries) and a bound worked out from every entry's last renewal, which needs the fleet to keep renewals of entries that are gone.

Also: operators racing on real daemons, with resends through a third.

--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -9,6 +9,7 @@
 use volo_http::server::param::PathParams;
 use volo_http::server::route::{Router, post};
 
+use super::polls::News;
 use super::token::Role;
 use super::{Entry, http as shared};
 use crate::error::{Code, Error, Result};
@@ -117,12 +118,21 @@
     }
     poll.report.worker = id;
     entry.check_lease()?;
-    let (mut orders, is_news) = entry.polls.hear(&poll.report, entry.timer.now_ms());
-    if is_news {
+    let (mut orders, news) = entry.polls.hear(&poll.report, entry.timer.now_ms());
+    if news != News::None {
         let call = Call::Report(poll.report.clone());
-        if let Ok(Answer::Orders(fresh)) = entry.client.call(call, REPORT).await {
-            entry.polls.put(&poll.report.worker, fresh);
-            entry.polls.reported(poll.report);
+        match entry.client.call(call, REPORT).await {
+            Ok(Answer::Orders(fresh)) => {
+                entry.polls.put(&poll.report.worker, fresh);
+                entry.polls.reported(poll.report);
+            }
+            // No lease before the leader knows who grants it: that bounds the chain, also where
+            // entries are cut off one after another.
+            _ if news == News::First => {
+                let message = "the control members do not know that this entry holds the worker";
+                return Err(Error::not_run(Code::NoLease, message));
+            }
+            _ => {}
         }
     }
     let changed = orders.wait_for(|orders| revision(orders) != poll.seen);
--- a/src/entry/polls.rs
+++ b/src/entry/polls.rs
@@ -12,6 +12,19 @@
     orders: watch::Sender<Vec<Order>>,
     report: Option<Report>,
     heard_ms: u64,
+    // The leader knows that this entry holds the worker.
+    is_known: bool,
+}
+
+/// What a poll tells the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// Nothing new.
+    None,
+    /// The report changed.
+    Changed,
+    /// The leader does not know yet that this entry holds the worker.
+    First,
 }
 
 /// Workers by name.
@@ -36,24 +49,35 @@
         }
     }
 
-    /// Notes a poll. Returns the worker's orders, and whether the report says anything new.
-    pub fn hear(&self, report: &Report, now_ms: u64) -> (watch::Receiver<Vec<Order>>, bool) {
+    /// Notes a poll. Returns the worker's orders, and what the leader is to be told.
+    pub fn hear(&self, report: &Report, now_ms: u64) -> (watch::Receiver<Vec<Order>>, News) {
         let mut all = self.held.lock();
         let held = all.entry(report.worker.clone()).or_insert_with(|| Held {
             orders: watch::Sender::new(Vec::new()),
             report: None,
             heard_ms: 0,
+            is_known: false,
         });
-        let stale = held.heard_ms + HELD_MS < now_ms;
-        let is_news = stale || held.report.as_ref() != Some(report);
+        // From then on, renewals no longer name the worker.
+        if held.heard_ms + HELD_MS <= now_ms {
+            held.is_known = false;
+        }
         held.heard_ms = now_ms;
-        (held.orders.subscribe(), is_news)
+        let news = if !held.is_known {
+            News::First
+        } else if held.report.as_ref() != Some(report) {
+            News::Changed
+        } else {
+            News::None
+        };
+        (held.orders.subscribe(), news)
     }
 
     /// Notes that the leader has a worker's report.
     pub fn reported(&self, report: Report) {
         if let Some(held) = self.held.lock().get_mut(&report.worker) {
             held.report = Some(report);
+            held.is_known = true;
         }
     }
 
--- a/tests/fault_config.rs
+++ b/tests/fault_config.rs
@@ -1,14 +1,22 @@
 //! Faults of configuration and of entry leases: one row, one fault, one expected outcome.
 
+mod support;
+
+use eelgrassvalve::client::Client;
 use eelgrassvalve::control::lease;
-use eelgrassvalve::error::Code;
+use eelgrassvalve::entry::operator::Configured;
+use eelgrassvalve::entry::platform::{Poll, Polled};
+use eelgrassvalve::error::{Code, Result};
 use eelgrassvalve::mesh::call::Renewal;
 use eelgrassvalve::mesh::frame::{decode, encode};
+use eelgrassvalve::placement::report::{Report, Shape};
 use eelgrassvalve::settings::Times;
 use eelgrassvalve::state::config::{Change, OUTCOMES, Register};
 use eelgrassvalve::state::document::{Document, Kind};
 use eelgrassvalve::verdict::Verdict;
+use http::Method;
 use rstest::rstest;
+use support::cluster::Cluster;
 
 fn document(kind: &str) -> Document {
     let kind = Kind { name: kind.into(), rank: 0, deadline_ms: 1_000 };
@@ -31,7 +39,10 @@
 #[case::id_with_another_document(change("a", 0, "score"), Err(Code::KeyReused))]
 #[case::id_with_another_version(change("a", 1, "plan"), Err(Code::KeyReused))]
 #[case::faults(change("b", 1, "Not A Name"), Err(Code::Unsatisfiable))]
-fn a_change_after_the_first(#[case] second: Change, #[case] expected: Result<u64, Code>) {
+fn a_change_after_the_first(
+    #[case] second: Change,
+    #[case] expected: std::result::Result<u64, Code>,
+) {
     let mut register = Register::default();
     assert_eq!(register.apply(&change("a", 0, "plan")), Ok(1));
     let told = register.apply(&second);
@@ -144,3 +155,71 @@
     assert_eq!(lease::quiet_ms(&TIMES), 5_300);
     assert!(entry_end_ms + TIMES.election_ms <= lease::quiet_ms(&TIMES));
 }
+
+async fn put(client: Client, id: &str, expected: u64, kind: &str) -> Result<Configured> {
+    let version = expected.to_string();
+    let headers = [("if-match", &*version), ("eelgrassvalve-request-id", id)];
+    client.json(Method::PUT, "/v1/config", &headers, Some(&document(kind))).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_who_race_with_equal_versions() {
+    let cluster = Cluster::start(3, 3).await;
+    put(cluster.operators(0), "first", 0, "plan").await.expect("the first change fits");
+    for round in 1..=5 {
+        let (id_a, id_b) = (format!("a-{round}"), format!("b-{round}"));
+        let (a, b) = tokio::join!(
+            put(cluster.operators(1), &id_a, round, "plan"),
+            put(cluster.operators(2), &id_b, round, "score"),
+        );
+        assert!(a.is_ok() != b.is_ok(), "{a:?} {b:?}");
+        let (won, lost, kind) = if a.is_ok() { (a, b, "plan") } else { (b, a, "score") };
+        let won = won.expect("one has won");
+        assert_eq!((won.version, &*won.state), (round + 1, "in_force"));
+        let lost = lost.expect_err("one has lost");
+        assert_eq!((lost.code, lost.verdict), (Code::Conflict, Verdict::NotRun));
+        assert!(lost.message.contains(&format!("current version is {}", round + 1)));
+        // Both ask again, through another entry: each gets its first answer.
+        for (id, own) in [(&id_a, "plan"), (&id_b, "score")] {
+            let again = put(cluster.operators(0), id, round, own).await;
+            assert_eq!(again.is_ok(), own == kind, "{again:?}");
+        }
+        assert_eq!(cluster.config(0).await.expect("is read").document, document(kind));
+    }
+    let reused = put(cluster.operators(0), "first", 0, "score").await.expect_err("is refused");
+    assert_eq!((reused.code, reused.verdict), (Code::KeyReused, Verdict::NotRun));
+}
+
+/// Two entries are cut off one after another; a worker moves to the second.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_grants_no_worker_lease_before_the_leader_knows_of_it() {
+    let mut cluster = Cluster::new(4, 3);
+    // Long enough that the entry's own lease still runs while it is cut off.
+    cluster.extra = "[times]\nentry_lease_ms = 10000\n".into();
+    cluster.relay_links().await;
+    cluster.boot().await;
+    cluster.set_links(3, false, false);
+    let report = Report {
+        worker: "worker-1".into(),
+        incarnation: 1,
+        shape: Shape { accelerators: 8, cores: 64, memory_mib: 262_144 },
+        tasks: Vec::new(),
+        rack: "rack-1".into(),
+        zone: "zone-1".into(),
+    };
+    let poll = Poll { report, seen: 0 };
+    for _ in 0..2 {
+        let client = Client::new(cluster.hosts[3].platform(), None);
+        let path = "/v1/workers/worker-1/poll";
+        let polled = client.json::<Polled>(Method::POST, path, &[], Some(&poll)).await;
+        assert_eq!(polled.expect_err("no lease").code, Code::NoLease);
+    }
+    cluster.set_links(3, true, true);
+    cluster.ready(3).await;
+    support::until("a lease", || async {
+        let client = Client::new(cluster.hosts[3].platform(), None);
+        let path = "/v1/workers/worker-1/poll";
+        client.json::<Polled>(Method::POST, path, &[], Some(&poll)).await.ok()
+    })
+    .await;
+}
