--- a/examples/failover.rs
+++ b/examples/failover.rs
@@ -75,7 +75,10 @@
     }
     print("new claimed work after the leader's kill", times);
 
-    restart(&mut cluster).await
+    drop(cluster);
+
+    let mut fresh = Cluster::start(HOSTS, CONTROLS).await;
+    restart(&mut fresh).await
 }
 
 fn document(change: u64) -> Document {
