--- a/src/placement/cells.rs
+++ b/src/placement/cells.rs
@@ -32,7 +32,10 @@
     rack_size: u32,
     // Every worker seen so far: a silent one still counts towards what the fleet can run.
     known: BTreeMap<String, Worker>,
-    possible: BTreeSet<String>,
+    fleet: Vec<Worker>,
+    // Guarantees packed over the whole fleet while it is empty.
+    fleet_plan: Plan,
+    possible: BTreeSet<u64>,
     claims: BTreeMap<String, Claim>,
     reservation: Option<String>,
 }
@@ -51,6 +54,7 @@
     decisions: Vec<Decision>,
     reservation: Option<Reservation>,
     searches: usize,
+    placed: BTreeSet<&'a str>,
     // Shapes that found no seats; what is free only shrinks within a round.
     failed: BTreeSet<Shape<'a>>,
     failed_claims: BTreeSet<Shape<'a>>,
@@ -119,8 +123,10 @@
         }
         if changed {
             self.possible.clear();
-            let known: Vec<Worker> = self.known.values().cloned().collect();
-            self.rack_size = guarantee::rack_size(&Board::empty(view.document, &known));
+            self.fleet = self.known.values().cloned().collect();
+            let fleet = Board::empty(view.document, &self.fleet);
+            self.rack_size = guarantee::rack_size(&fleet);
+            self.fleet_plan = guarantee::pack(view.document, &fleet, &[], self.rack_size);
             self.kept = self.moved(board);
             self.document = view.document.clone();
             self.workers = view.workers.to_vec();
@@ -168,18 +174,15 @@
         if !round.view.is_settled || !round.plan.risks.is_empty() || self.known.is_empty() {
             return entries;
         }
-        let known: Vec<Worker> = self.known.values().cloned().collect();
-        let fleet = Board::empty(round.view.document, &known);
-        let size = guarantee::rack_size(&fleet);
-        let plan = guarantee::pack(round.view.document, &fleet, &[], size);
+        let fleet = Board::empty(round.view.document, &self.fleet);
         let mut kept = Vec::with_capacity(entries.len());
         for entry in entries {
-            let key = Shape::new(entry.job, &round.board).text();
+            let key = Shape::new(entry.job, &round.board).digest();
             if entry.job.failed_on.is_empty() && self.possible.contains(&key) {
                 kept.push(entry);
                 continue;
             }
-            match shape::impossible(&fleet, &plan, entry.job) {
+            match shape::impossible(&fleet, &self.fleet_plan, entry.job) {
                 Some(reason) => {
                     let job = entry.job.id.clone();
                     round.decisions.push(Decision::Refuse { job, reason });
@@ -203,6 +206,7 @@
             decisions: Vec::new(),
             reservation: None,
             searches: 0,
+            placed: BTreeSet::new(),
             failed: BTreeSet::new(),
             failed_claims: BTreeSet::new(),
         }
@@ -290,7 +294,7 @@
     // Places a job on what is free: in its guarantee first, then anywhere if it can be evicted.
     fn place(&mut self, entry: &Entry<'a>) -> bool {
         let job = entry.job;
-        if self.board.holders.iter().rev().take(self.decisions.len()).any(|h| h.job.id == job.id) {
+        if self.placed.contains(job.id.as_str()) {
             return true;
         }
         let shape = Shape::new(job, &self.board);
@@ -428,6 +432,7 @@
 
     fn seat(&mut self, job: &'a Job, seats: Vec<Seat>, guaranteed: bool, reason: &str) {
         let parts = self.board.parts(&seats);
+        self.placed.insert(&job.id);
         self.board.add(Holder {
             job,
             customer: self.board.customer(job),
--- a/src/placement/shape.rs
+++ b/src/placement/shape.rs
@@ -1,5 +1,7 @@
 //! What a job needs, and which dimension of it is missing.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use super::board::{Board, Seat};
 use super::eviction;
 use super::fit::{self, Area};
@@ -7,7 +9,7 @@
 use crate::state::job::Job;
 
 /// What decides whether a job finds seats.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Shape<'a> {
     customer: &'a str,
     parts: u32,
@@ -42,8 +44,10 @@
     }
 
     /// The shape as a key that outlives its job.
-    pub fn text(&self) -> String {
-        format!("{self:?}")
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.hash(&mut hasher);
+        hasher.finish()
     }
 }
 
--- a/tests/support/replay.rs
+++ b/tests/support/replay.rs
@@ -143,10 +143,13 @@
         let Some(job) = self.jobs.get(id) else { return };
         let Phase::Started(gang) = &job.phase else { return };
         let ran_ms = now_ms - gang.since_ms;
+        let accelerators = u64::from(job.spec.parts * job.spec.accelerators);
         if !self.checkpoints {
-            self.lost += ran_ms * u64::from(job.spec.parts * job.spec.accelerators);
+            self.lost += ran_ms * accelerators;
             return;
         }
+        // Seats stand still while the checkpoint is made.
+        self.lost += self.document.placement.checkpoint_grace_ms * accelerators;
         if let Some(rest) = self.rest.get_mut(id) {
             *rest = rest.saturating_sub(ran_ms).max(1);
         }
