--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod job;
 mod listing;
+mod load;
 mod members;
 mod output;
 mod remote;
@@ -66,6 +67,7 @@
             Box::new(members::Members),
             Box::new(job::Job),
             Box::new(request::Request),
+            Box::new(load::Load),
             Box::new(drain::Drain),
             Box::new(completions::Completions { of: tool }),
         ],
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -3,7 +3,10 @@
 pub mod attempt;
 pub mod connection;
 pub mod limit;
+mod loan;
+mod news;
 pub mod outlier;
+mod peer;
 pub mod queue;
 pub mod retry;
 pub mod share;
@@ -225,8 +228,8 @@
                 (Ok(answer), _) => {
                     sent.answered();
                     self.end(&id, End::Answered);
-                    let took_ms = self.timer.now_ms() - start_ms;
-                    self.queue.lock().learn(&request.kind, took_ms);
+                    let now_ms = self.timer.now_ms();
+                    self.queue.lock().learn(&request.kind, now_ms - start_ms, now_ms);
                     return Ok(answer);
                 }
                 // The upstream closed an idle connection: that says nothing of the upstream.
--- a/src/routing/queue.rs
+++ b/src/routing/queue.rs
@@ -11,6 +11,11 @@
 const BUCKET_MS: u64 = 100;
 /// Weight of the newest exchange in the mean time of a kind.
 const NEWEST: f64 = 0.1;
+/// Milliseconds after the last exchange of a kind at which its pace counts as unknown, so that
+/// a slow past can't refuse requests for ever.
+const FRESH_MS: u64 = 2_000;
+/// Mean deviations above the mean within which most exchanges end.
+const DEVIATIONS: f64 = 2.0;
 /// Exchanges of a kind before its mean time is trusted.
 const SAMPLES: u32 = 20;
 /// Cost of one request against a share of 1.
@@ -86,7 +91,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Pace {
     mean_ms: f64,
+    deviation_ms: f64,
     samples: u32,
+    learnt_ms: u64,
 }
 
 /// Waiting requests, each with a value of the caller's.
@@ -130,23 +137,36 @@
         self.bytes
     }
 
-    /// Notes how long an exchange of a kind took.
-    pub fn learn(&mut self, kind: &str, took_ms: u64) {
+    /// Notes how long an exchange of a kind took that ended now.
+    pub fn learn(&mut self, kind: &str, took_ms: u64, now_ms: u64) {
         let pace = self.paces.entry(kind.into()).or_default();
+        if !pace.is_fresh(now_ms) {
+            *pace = Pace::default();
+        }
+        pace.learnt_ms = now_ms;
         let newest = if pace.samples == 0 { 1.0 } else { NEWEST };
-        pace.mean_ms += (took_ms as f64 - pace.mean_ms) * newest;
+        let error_ms = took_ms as f64 - pace.mean_ms;
+        pace.mean_ms += error_ms * newest;
+        if pace.samples > 0 {
+            pace.deviation_ms += (error_ms.abs() - pace.deviation_ms) * newest;
+        }
         pace.samples = pace.samples.saturating_add(1);
     }
 
-    /// Mean time of an exchange of a kind, in milliseconds, once it is known.
-    pub fn mean_ms(&self, kind: &str) -> Option<u64> {
+    fn pace(&self, kind: &str, now_ms: u64) -> Option<&Pace> {
         let pace = self.paces.get(kind)?;
-        (pace.samples >= SAMPLES).then_some(pace.mean_ms as u64)
+        (pace.samples >= SAMPLES && pace.is_fresh(now_ms)).then_some(pace)
+    }
+
+    /// Time within which most exchanges of a kind end, in milliseconds; 0 while it is not known.
+    pub fn work_ms(&self, kind: &str, now_ms: u64) -> u64 {
+        let Some(pace) = self.pace(kind, now_ms) else { return 0 };
+        (pace.mean_ms + DEVIATIONS * pace.deviation_ms) as u64
     }
 
-    /// Estimated wait of a request, in milliseconds, with `capacity` slots for its kind.
-    pub fn wait_ms(&self, ticket: &Ticket, capacity: u32) -> u64 {
-        let Some(mean_ms) = self.mean_ms(&ticket.kind) else { return 0 };
+    /// Estimated wait of a request, in milliseconds.
+    pub fn wait_ms(&self, ticket: &Ticket, room: Room) -> u64 {
+        let Some(pace) = self.pace(&ticket.kind, room.now_ms) else { return 0 };
         let bucket = ticket.deadline_ms / BUCKET_MS;
         let mut ahead = 0;
         for ((rank, at), depth) in self.depths.range(..=(ticket.rank, bucket)) {
@@ -154,7 +174,7 @@
                 ahead += u64::from(*depth);
             }
         }
-        ahead * mean_ms / u64::from(capacity.max(1))
+        (ahead as f64 * pace.mean_ms / f64::from(room.capacity.max(1))) as u64
     }
 
     /// Adds a request; less urgent requests that have to give way to it go into `shed`.
@@ -168,8 +188,8 @@
         room: Room,
         shed: &mut Vec<(Ticket, T)>,
     ) -> Result<()> {
-        let wait_ms = self.wait_ms(&ticket, room.capacity);
-        let work_ms = self.mean_ms(&ticket.kind).unwrap_or(0);
+        let wait_ms = self.wait_ms(&ticket, room);
+        let work_ms = self.work_ms(&ticket.kind, room.now_ms);
         if room.now_ms + wait_ms + work_ms > ticket.deadline_ms {
             return Err(Refused::Late { wait_ms });
         }
@@ -289,6 +309,12 @@
     }
 }
 
+impl Pace {
+    fn is_fresh(&self, now_ms: u64) -> bool {
+        self.learnt_ms + FRESH_MS > now_ms
+    }
+}
+
 impl Ticket {
     fn lane(&self) -> Lane {
         Lane { rank: self.rank, kind: self.kind.clone(), customer: self.customer.clone() }
--- a/src/routing/slot.rs
+++ b/src/routing/slot.rs
@@ -154,9 +154,8 @@
             if sender.is_closed() {
                 continue;
             }
-            let work_ms = queue.mean_ms(&ticket.kind).unwrap_or(0);
-            // Half the mean: an exchange may well be faster than most.
-            if now_ms + work_ms / 2 >= ticket.deadline_ms {
+            // A slot spent on an answer that comes too late is lost for all others.
+            if now_ms + queue.work_ms(&ticket.kind, now_ms) >= ticket.deadline_ms {
                 return Some((sender, Grant::Late));
             }
             let picked = self.upstreams.lock().pick(&ticket.kind, &[], now_ms, &mut rand::rng());
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -6,10 +6,9 @@
 use rand::seq::IndexedRandom;
 
 use super::outlier::{Health, may_eject};
+use super::peer::Peer;
 use super::share;
-use super::upstream::{
-    Announce, Beat, Beats, Delta, Load, Mark, Row, State, TTL_MS, Upstream, Used,
-};
+use super::upstream::{Announce, Delta, Mark, Row, State, TTL_MS, Upstream};
 
 /// Milliseconds of silence after which a row is dropped.
 const FORGET_MS: u64 = 60_000;
@@ -17,9 +16,6 @@
 const LEAVING_MS: u64 = 600_000;
 /// Most rows.
 const ROWS: usize = 2_048;
-/// Milliseconds after which another entry's load counts no longer.
-const LOAD_MS: u64 = 2_000;
-
 /// What an announcement changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
@@ -72,38 +68,37 @@
 }
 
 #[derive(Debug)]
-struct Known {
-    announce: Announce,
-    mark: Mark,
-    heard_ms: u64,
-    heard_directly_ms: Option<u64>,
-    used: u32,
+pub(super) struct Known {
+    pub(super) announce: Announce,
+    pub(super) mark: Mark,
+    pub(super) heard_ms: u64,
+    pub(super) heard_directly_ms: Option<u64>,
+    pub(super) used: u32,
+    /// Slots that other entries use.
+    pub(super) others: u32,
+    /// Slots that are each entry's own, in the order of the entries.
+    pub(super) parts: Vec<u32>,
     /// Slots that are this entry's own.
-    share: u32,
+    pub(super) share: u32,
+    /// Slots of its own that it may use while others still hold what they borrowed.
+    pub(super) open: u32,
     /// Slots that it may use with what others leave idle.
-    loan: u32,
+    pub(super) loan: u32,
     /// Connections that it may hold.
-    connections: u32,
-    health: Health,
-}
-
-#[derive(Debug)]
-struct Peer {
-    load: Load,
-    heard_ms: u64,
-    least_offset_ms: Option<i64>,
+    pub(super) connections: u32,
+    pub(super) health: Health,
 }
 
 /// Upstreams by id.
 #[derive(Debug)]
 pub struct Table {
-    own: String,
-    zone: String,
-    most_connections: u32,
-    entries: Vec<String>,
-    known: BTreeMap<String, Known>,
-    ids: BTreeMap<Mark, String>,
-    peers: BTreeMap<String, Peer>,
+    pub(super) own: String,
+    pub(super) zone: String,
+    pub(super) most_connections: u32,
+    pub(super) entries: Vec<String>,
+    pub(super) known: BTreeMap<String, Known>,
+    pub(super) ids: BTreeMap<Mark, String>,
+    pub(super) peers: BTreeMap<String, Peer>,
 }
 
 impl Table {
@@ -189,7 +184,10 @@
             heard_ms,
             heard_directly_ms: None,
             used: 0,
+            others: 0,
+            parts: Vec::new(),
             share: 0,
+            open: 0,
             loan: 0,
             connections: 0,
             health: Health::default(),
@@ -215,8 +213,13 @@
     fn divide_one(&mut self, id: &str) {
         let Some(known) = self.known.get_mut(id) else { return };
         let most = known.announce.connections.min(self.most_connections);
+        known.parts.clear();
+        for entry in &self.entries {
+            known.parts.push(share::part(known.announce.slots, id, &self.entries, entry));
+        }
         known.share = share::part(known.announce.slots, id, &self.entries, &self.own);
         known.connections = share::part(most, id, &self.entries, &self.own);
+        known.open = known.share;
         known.loan = 0;
     }
 
@@ -237,135 +240,6 @@
         self.peers.retain(|_, peer| peer.heard_ms + FORGET_MS > now_ms);
     }
 
-    /// A link to an entry came up: its clock may be another one.
-    pub fn link(&mut self, peer: &str) {
-        self.peers.remove(peer);
-    }
-
-    /// Heartbeats for the upstreams that announced themselves here since the last call.
-    pub fn beats(&mut self, now_ms: u64) -> Beats {
-        let mut beats = Vec::new();
-        for known in self.known.values_mut() {
-            let Some(heard_ms) = known.heard_directly_ms.take() else { continue };
-            beats.push(Beat(known.mark, known.announce.sequence, now_ms.saturating_sub(heard_ms)));
-        }
-        Beats { sent_ms: now_ms, beats }
-    }
-
-    /// Takes another entry's heartbeats. Returns the marks that are unknown here.
-    ///
-    /// Heartbeats that waited on the way count from when they were sent, by the least offset
-    /// between the two clocks that was seen.
-    pub fn hear_beats(&mut self, from: &str, beats: &Beats, now_ms: u64) -> Vec<Mark> {
-        let peer = self.peer(from, now_ms);
-        let offset = now_ms as i64 - beats.sent_ms as i64;
-        let least = peer.least_offset_ms.map_or(offset, |least| least.min(offset));
-        peer.least_offset_ms = Some(least);
-        let late_ms = (offset - least) as u64;
-        let mut unknown = Vec::new();
-        for Beat(mark, sequence, age_ms) in &beats.beats {
-            let Some(known) = self.ids.get(mark).and_then(|id| self.known.get_mut(id)) else {
-                unknown.push(*mark);
-                continue;
-            };
-            if *sequence <= known.announce.sequence {
-                continue;
-            }
-            known.announce.sequence = *sequence;
-            let heard_ms = now_ms.saturating_sub(late_ms.saturating_add(*age_ms));
-            known.heard_ms = known.heard_ms.max(heard_ms);
-        }
-        unknown
-    }
-
-    /// Rows that another entry asks for.
-    pub fn wanted(&self, marks: &[Mark], now_ms: u64) -> Vec<Delta> {
-        let mut deltas = Vec::new();
-        for mark in marks {
-            let Some(id) = self.ids.get(mark) else { continue };
-            deltas.extend(self.delta(id, now_ms));
-        }
-        deltas
-    }
-
-    /// The row of an upstream, as told to other entries.
-    pub fn delta(&self, id: &str, now_ms: u64) -> Option<Delta> {
-        let known = self.known.get(id)?;
-        let age_ms = now_ms.saturating_sub(known.heard_ms);
-        Some(Delta { id: id.into(), announce: known.announce.clone(), age_ms })
-    }
-
-    /// All rows within their time to live, for a freshly linked entry.
-    pub fn all(&self, now_ms: u64) -> Vec<Delta> {
-        let mut deltas = Vec::new();
-        for (id, known) in &self.known {
-            if known.announce.state == State::Leaving || known.is_live(now_ms) {
-                deltas.extend(self.delta(id, now_ms));
-            }
-        }
-        deltas
-    }
-
-    /// Load of this entry, and the start of a new period of borrowing.
-    pub fn load(&mut self, waiting: u32, now_ms: u64) -> Load {
-        self.lend(waiting, now_ms);
-        let mut used = Vec::new();
-        for known in self.known.values() {
-            if known.used > 0 {
-                used.push(Used(known.mark.low(), known.used));
-            }
-        }
-        Load { waiting, used }
-    }
-
-    /// Takes another entry's load.
-    pub fn hear_load(&mut self, from: &str, load: Load, now_ms: u64) {
-        let peer = self.peer(from, now_ms);
-        peer.load = load;
-        peer.heard_ms = now_ms;
-    }
-
-    fn peer(&mut self, name: &str, now_ms: u64) -> &mut Peer {
-        self.peers.entry(name.into()).or_insert_with(|| Peer {
-            load: Load::default(),
-            heard_ms: now_ms,
-            least_offset_ms: None,
-        })
-    }
-
-    // What others leave idle is divided among the entries where requests wait, as all of them see
-    // it; the division holds until the next load is told.
-    fn lend(&mut self, waiting: u32, now_ms: u64) {
-        let mut pressed = Vec::new();
-        let mut others: BTreeMap<u32, u32> = BTreeMap::new();
-        let mut heard = 1;
-        for entry in &self.entries {
-            if *entry == self.own {
-                pressed.extend((waiting > 0).then(|| entry.clone()));
-                continue;
-            }
-            let Some(peer) = self.peers.get(entry) else { continue };
-            if peer.heard_ms + LOAD_MS <= now_ms {
-                continue;
-            }
-            heard += 1;
-            pressed.extend((peer.load.waiting > 0).then(|| entry.clone()));
-            for Used(low, used) in &peer.load.used {
-                *others.entry(*low).or_default() += used;
-            }
-        }
-        // The load of an entry that can't be heard is unknown: nothing is borrowed.
-        let may_borrow = waiting > 0 && heard >= self.entries.len();
-        for (id, known) in &mut self.known {
-            let other = others.get(&known.mark.low()).copied().unwrap_or(0);
-            let idle = known.announce.slots.saturating_sub(other + known.used);
-            known.loan = match may_borrow {
-                true => known.used + share::part(idle, id, &pressed, &self.own),
-                false => 0,
-            };
-        }
-    }
-
     /// Picks the less loaded of two upstreams that serve the kind, from the best group that has a
     /// free slot: own share near, own share far, borrowed. Takes the slot. Upstreams in `but`
     /// already failed this request.
@@ -381,9 +255,12 @@
             if !known.is_open(kind, now_ms) || but.contains(id) || known.used >= known.connections {
                 continue;
             }
-            if known.used < known.share && known.announce.zone == self.zone {
+            if known.used + known.others >= known.announce.slots {
+                continue;
+            }
+            if known.used < known.open && known.announce.zone == self.zone {
                 near.push((id, known.used));
-            } else if known.used < known.share {
+            } else if known.used < known.open {
                 far.push((id, known.used));
             } else if known.used < known.loan {
                 borrowed.push((id, known.used));
@@ -446,7 +323,7 @@
         let mut slots = 0;
         for known in self.known.values() {
             if known.is_open(kind, now_ms) {
-                slots += known.share.max(known.loan).min(known.connections);
+                slots += known.open.max(known.loan).min(known.connections);
             }
         }
         slots
@@ -468,7 +345,7 @@
 }
 
 impl Known {
-    fn is_live(&self, now_ms: u64) -> bool {
+    pub(super) fn is_live(&self, now_ms: u64) -> bool {
         self.heard_ms + TTL_MS > now_ms
     }
 
--- a/src/routing/upstream.rs
+++ b/src/routing/upstream.rs
@@ -101,12 +101,12 @@
     pub beats: Vec<Beat>,
 }
 
-/// Slots of one upstream that the sender uses.
+/// Slots of one upstream that the sender uses, or may use before its next report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Used(
     /// Low half of the mark; a collision misleads a hint only.
     pub u32,
-    /// Slots in use.
+    /// Slots.
     pub u32,
 );
 
