--- a/tests/fault_route.rs
+++ b/tests/fault_route.rs
@@ -461,6 +461,53 @@
     assert_eq!(leaving.journal().len(), before);
 }
 
+/// The only entry that hears of the leaving is cut off, and its late frames arrive afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_upstream_gets_no_new_work_across_cut_links() {
+    let mut cluster = Cluster::new(3, 3);
+    cluster.relay_links().await;
+    cluster.boot().await;
+    cluster.apply(0, &document()).await.expect("the document is accepted");
+    let work = Duration::from_millis(1);
+    let cut = [cluster.hosts[2].platform()];
+    let leaving = Upstream::start("runner-1", &["plan"], work, &cut).await;
+    let one = [cluster.hosts[0].platform()];
+    let staying = Upstream::start("runner-2", &["plan"], work, &one).await;
+    let upstreams = [&leaving, &staying];
+    for at in 0..3 {
+        until("both upstreams known", || async {
+            let rows =
+                cluster.operators(at).get::<serde_json::Value>("/v1/upstreams").await.ok()?;
+            (rows.as_array()?.len() == 2).then_some(())
+        })
+        .await;
+    }
+    until("work at the one that will leave", || async {
+        send(&cluster, 0, &upstreams).await.ok()?;
+        (!leaving.journal().is_empty()).then_some(())
+    })
+    .await;
+    cluster.set_links(2, false, true);
+    leaving.leave();
+    tokio::time::sleep(Duration::from_millis(TTL_MS)).await;
+    let before = leaving.journal().len();
+    until("requests served by the others", || async {
+        send(&cluster, 0, &upstreams).await.ok()?;
+        send(&cluster, 1, &upstreams).await.ok()
+    })
+    .await;
+    for at in 0..60 {
+        // The entry that is cut off refuses; the others may be electing a leader.
+        let _ = send(&cluster, at % 3, &upstreams).await;
+    }
+    cluster.set_links(2, true, true);
+    cluster.ready(2).await;
+    for at in 0..60 {
+        send(&cluster, at % 3, &upstreams).await.expect("the other upstream serves");
+    }
+    assert_eq!(leaving.journal().len(), before);
+}
+
 async fn send(cluster: &Cluster, at: usize, upstreams: &[&Upstream]) -> Result<usize> {
     let key = uuid::Uuid::now_v7().to_string();
     let headers = [("idempotency-key", key.as_str()), ("eelgrassvalve-idempotent", "true")];
