Test the bytes of upstream news and a second answer that comes after the next request

A kept connection whose check of the request's number was taken out passed before: the second answer came while the connection was idle. Now it comes while the next request is under way, and the same mutation turns the row red.

--- a/tests/fault_route.rs
+++ b/tests/fault_route.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use eelgrassvalve::error::Result;
+use eelgrassvalve::mesh::frame::{Frame, Notice, encode};
 use eelgrassvalve::routing::limit::{Exceeded, Limiter};
 use eelgrassvalve::routing::queue::{Bounds, Queue, Refused, Room, Ticket};
 use eelgrassvalve::routing::share::part;
@@ -316,6 +317,38 @@
     }
 }
 
+/// Bytes a second that one of six entries sends for 50 upstreams, framing of the link included.
+#[rstest]
+#[case::idle(0, 1_500)]
+#[case::busy(400, 5_000)]
+fn news_of_upstreams_stay_within_the_budget(#[case] wanted: usize, #[case] most: usize) {
+    const PEERS: usize = 5;
+    const LINK_BYTES: usize = 8;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut replay = Replay::new();
+    replay.take_all(&[wanted / 6 + 1; 6], &mut rng);
+    let table = &mut replay.tables[0];
+    for at in 0..50 {
+        let id = format!("runner-{at}");
+        if at % 6 == 0 {
+            table.hear(&id, &announce(1, 1_000_000, Serving), 86_400_000);
+        } else {
+            table.hear_of(&id, &announce(1, 1_000_000, Serving), 86_400_000);
+        }
+    }
+    // The tables heard directly of all upstreams when the replay was laid out.
+    table.beats(0);
+    for at in (0..50).step_by(6) {
+        table.hear(&format!("runner-{at}"), &announce(1, 1_000_001, Serving), 86_400_000);
+    }
+    let beats = encode(&Frame::Notice(Notice::Beats(table.beats(86_400_000)))).len();
+    let load = table.load((wanted > 0).into(), 86_400_000);
+    let load = encode(&Frame::Notice(Notice::Load(load))).len();
+    let bytes = (beats + LINK_BYTES + 2 * (load + LINK_BYTES)) * PEERS;
+    println!("wanted {wanted}: beats {beats} B, load {load} B, {bytes} B/s to {PEERS} entries");
+    assert!(bytes <= most, "{bytes} B/s");
+}
+
 fn ticket(number: u64, customer: &str, rank: u8, deadline_ms: u64) -> Ticket {
     Ticket {
         number,
--- a/tests/fault_upstream.rs
+++ b/tests/fault_upstream.rs
@@ -119,6 +119,7 @@
 #[case::overlong_body(Manner::OverlongBody, true)]
 #[case::second_answer_at_once(Manner::Twice(Duration::ZERO), false)]
 #[case::second_answer_later(Manner::Twice(SHORT), false)]
+#[case::second_answer_to_the_next_request(Manner::Twice(SHORT * 12), false)]
 #[case::closes_idle(Manner::ClosesIdle, true)]
 #[case::late_answer(Manner::Late(Duration::from_millis(800)), false)]
 #[case::foreign_number(Manner::ForeignNumber, false)]
