--- a/tests/fault_route.rs
+++ b/tests/fault_route.rs
@@ -10,7 +10,9 @@
 use eelgrassvalve::error::Result;
 use eelgrassvalve::mesh::frame::{Frame, Notice, encode};
 use eelgrassvalve::routing::limit::{Exceeded, Limiter};
+use eelgrassvalve::routing::outlier::{Health, may_eject};
 use eelgrassvalve::routing::queue::{Bounds, Queue, Refused, Room, Ticket};
+use eelgrassvalve::routing::retry::Budget;
 use eelgrassvalve::routing::share::part;
 use eelgrassvalve::routing::table::{Heard, Table};
 use eelgrassvalve::routing::upstream::{Announce, State, TTL_MS};
@@ -317,6 +319,45 @@
     }
 }
 
+#[rstest]
+#[case(0, 1, false)]
+#[case(0, 4, true)]
+#[case(1, 4, false)]
+#[case(14, 50, true)]
+#[case(15, 50, false)]
+fn ejection_is_capped(#[case] ejected: usize, #[case] live: usize, #[case] expected: bool) {
+    assert_eq!(may_eject(ejected, live), expected);
+}
+
+#[test]
+fn an_ejected_upstream_gets_one_probe_at_a_time() {
+    let mut health = Health::default();
+    for _ in 0..5 {
+        health.start();
+        health.fail(0, true);
+    }
+    assert!(!health.is_open(0) && health.is_open(60_000));
+    health.start();
+    assert!(!health.is_open(60_000), "a probe is under way");
+    health.fail(60_000, true);
+    assert!(!health.is_open(60_001) && health.is_open(120_000));
+    health.start();
+    health.succeed();
+    assert!(health.is_open(120_000) && !health.is_ejected());
+}
+
+#[test]
+fn retries_are_a_bounded_share_of_successes() {
+    let mut budget = Budget::default();
+    while budget.spend() {}
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.earn();
+        retries += usize::from(budget.spend());
+    }
+    assert_eq!(retries, 100);
+}
+
 /// Bytes a second that one of six entries sends for 50 upstreams, framing of the link included.
 #[rstest]
 #[case::idle(0, 1_500)]
