--- a/tests/fuzz_frame.rs
+++ b/tests/fuzz_frame.rs
@@ -27,12 +27,12 @@
 
 prop_compose! {
     fn settlement()(
-        key: u128, entry in ".{0,20}", incarnation: u64, status: u16,
+        key: u128, entry in ".{0,20}", incarnation: u64, attempt: u64, status: u16,
         body in proptest::option::of(vec(any::<u8>(), 0..300)),
         content_type in proptest::option::of(".{0,20}"),
     ) -> Settlement {
         let outcome = Outcome::Ran(Answer { status, content_type, body });
-        Settlement { key: Key(key), owner: Owner { entry, incarnation }, outcome }
+        Settlement { key: Key(key), owner: Owner { entry, incarnation }, attempt, outcome }
     }
 }
 
