--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,7 +3,11 @@
 #![allow(dead_code)]
 
 pub mod cluster;
+pub mod history;
+pub mod hostile;
 pub mod raw;
+pub mod relay;
+pub mod replay;
 pub mod upstream;
 pub mod worker;
 
