--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -12,22 +12,28 @@
 
 /// Routes of the health listener.
 pub(super) fn router(entry: &Arc<Entry>) -> Router {
-    let entry = entry.clone();
+    let (e1, e2) = (entry.clone(), entry.clone());
     let ready = move || {
-        let entry = entry.clone();
+        let entry = e1.clone();
         async move { ready(&entry) }
     };
+    let scrape = move || {
+        let entry = e2.clone();
+        async move { scrape(&entry) }
+    };
     Router::new()
         .route("/livez", get(live).fallback(shared::missing))
         .route("/readyz", get(ready).fallback(shared::missing))
-        .route("/metrics", get(metrics).fallback(shared::missing))
+        .route("/metrics", get(scrape).fallback(shared::missing))
 }
 
 async fn live() -> Response {
     text(StatusCode::OK, "live\n".into())
 }
 
-async fn metrics() -> Response {
+fn scrape(entry: &Entry) -> Response {
+    let sent_ms = entry.standing.lock().sent_ms;
+    Metrics::global().set_lease_age(entry.timer.now_ms().saturating_sub(sent_ms));
     text(StatusCode::OK, Metrics::global().scrape())
 }
 
--- a/tests/contract_operator.rs
+++ b/tests/contract_operator.rs
@@ -124,6 +124,8 @@
     for (path, begins) in [("/livez", "live"), ("/readyz", "ready"), ("/metrics", "# ")] {
         let reply = raw::send(health, &format!("GET {path}"), &[], b"").await;
         assert!(reply.status == 200 && reply.body.starts_with(begins), "{reply:?}");
+        let scraped = reply.body.contains("eelgrassvalve_lease_age_ms");
+        assert_eq!(scraped, path == "/metrics");
     }
     let missing = [
         row("GET /", &[], "", (404, "not_found")),
