--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -173,7 +173,7 @@
         sequence: 10_000,
         state: eelgrassvalve::routing::upstream::State::Serving,
     };
-    let delta = Delta { id: "runner-042".into(), announce };
+    let delta = Delta { id: "runner-042".into(), announce, age_ms: 40 };
     show("upstream delta frame", encode(&Frame::Notice(Notice::Upstreams(vec![delta]))).len());
     let body = Body::Append {
         prev_index: 100_000,
