--- /dev/null
+++ b/tests/fault_group.rs
@@ -0,0 +1,109 @@
+//! What a proposal is answered where another leader decides its index.
+
+mod support;
+
+use std::sync::Arc;
+
+use eelgrassvalve::control::Group;
+use eelgrassvalve::error::Error;
+use eelgrassvalve::kernel::lock::{Rank, Table};
+use eelgrassvalve::kernel::timer::Timer;
+use eelgrassvalve::mesh::Mesh;
+use eelgrassvalve::mesh::frame::{Hello, VERSION, encode};
+use eelgrassvalve::replica::member::{Id, Members};
+use eelgrassvalve::replica::store::Store;
+use eelgrassvalve::replica::{Body, Bytes, Entry, Message, Payload, Snapshot};
+use eelgrassvalve::settings::Settings;
+use eelgrassvalve::state::{Command, Machine, worker};
+use eelgrassvalve::verdict::Verdict;
+use rstest::rstest;
+use support::cluster::Cluster;
+use support::{PATIENCE, until};
+
+/// Index of the only proposal: after the first snapshot and the start of the term.
+const PROPOSED: u64 = 3;
+
+fn start(cluster: &Cluster) -> Group {
+    cluster.write_settings(0, &|peer| peer.mesh());
+    let settings = Settings::load(&cluster.settings_path(0)).expect("the settings are valid");
+    let folder = cluster.data_folder(0);
+    let (mut store, _) = Store::open(&folder).expect("opens");
+    let id = store.id();
+    let mut members = Members::default();
+    for (number, id) in [id, Id(2), Id(3)].into_iter().enumerate() {
+        members.voters.insert(id, format!("host-{}", number + 1));
+    }
+    let snapshot = Snapshot { index: 1, members, ..Snapshot::default() };
+    store.save_snapshot(&snapshot, &[]).expect("is saved");
+    drop(store);
+    let (store, saved) = Store::open(&folder).expect("opens");
+    let hello = Hello {
+        version: VERSION,
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        id,
+        incarnation: 1,
+        is_entry: true,
+        is_control: true,
+    };
+    let machine = Arc::new(Table::new(Rank::Machine, Machine::default()));
+    Group::start(&settings, Timer::system(), Mesh::new(hello), store, saved, machine)
+}
+
+async fn own_last_index(group: &Group) -> u64 {
+    let rows = group.standing().members;
+    rows.iter().find(|row| row.name == "host-1").map_or(0, |row| row.matched)
+}
+
+fn other_entries() -> Body {
+    let noop = |index| Entry { index, term: 2, payload: Payload::Noop };
+    let entries = vec![noop(2), noop(PROPOSED)];
+    Body::Append { prev_index: 1, prev_term: 0, entries, commit: PROPOSED, sent_ms: 0 }
+}
+
+fn other_snapshot() -> Body {
+    let piece = Bytes(encode(&Machine::default()));
+    let head = Snapshot { index: PROPOSED, term: 2, ..Snapshot::default() };
+    let length = piece.0.len() as u64;
+    Body::Chunk { head, offset: 0, piece, length, sent_ms: 0 }
+}
+
+#[rstest]
+#[case::overwritten_by_an_entry(other_entries(), Verdict::NotRun)]
+#[case::covered_by_a_snapshot(other_snapshot(), Verdict::MayHaveRun)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_proposal_of_a_deposed_leader_is_answered(#[case] body: Body, #[case] verdict: Verdict) {
+    let cluster = Cluster::new(1, 1);
+    let group = start(&cluster);
+    group.receive(Id(2), Message { term: 0, body: Body::Campaign });
+    let vote = Body::Answer { pre: false, granted: true };
+    group.receive(Id(2), Message { term: 1, body: vote });
+    until("leadership", || async { group.standing().leads.then_some(()) }).await;
+
+    let command = worker::Command::Drain { worker: "worker-1".into(), draining: true };
+    let proposal = group.propose(Command::Worker(command), PATIENCE);
+    let deposed = async {
+        until("the proposal in the log", || async {
+            (own_last_index(&group).await == PROPOSED).then_some(())
+        })
+        .await;
+        group.receive(Id(3), Message { term: 2, body });
+    };
+    let waited = tokio::time::timeout(PATIENCE / 2, async { tokio::join!(proposal, deposed) });
+    let (answer, ()) = waited.await.expect("an answer before the proposal's own limit");
+    let Error { verdict: told, message, .. } = answer.expect_err("is not done");
+    assert_eq!(told, verdict, "{message}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_of_a_leader_without_a_quorum_is_refused() {
+    let cluster = Cluster::new(1, 1);
+    let group = start(&cluster);
+    group.receive(Id(2), Message { term: 0, body: Body::Campaign });
+    let vote = Body::Answer { pre: false, granted: true };
+    group.receive(Id(2), Message { term: 1, body: vote });
+    until("leadership", || async { group.standing().leads.then_some(()) }).await;
+    let error = group.read().await.expect_err("no quorum answers");
+    assert_eq!(error.verdict, Verdict::NotRun);
+    until("the end of the leadership", || async { (!group.standing().leads).then_some(()) }).await;
+}
