--- a/tests/fault_group.rs
+++ b/tests/fault_group.rs
@@ -50,6 +50,15 @@
     Group::start(&settings, Timer::system(), Mesh::new(hello), store, saved, machine)
 }
 
+async fn lead(cluster: &Cluster) -> Group {
+    let group = start(cluster);
+    group.receive(Id(2), Message { term: 0, body: Body::Campaign });
+    let vote = Body::Answer { pre: false, granted: true };
+    group.receive(Id(2), Message { term: 1, body: vote });
+    until("leadership", || async { group.standing().leads.then_some(()) }).await;
+    group
+}
+
 async fn own_last_index(group: &Group) -> u64 {
     let rows = group.standing().members;
     rows.iter().find(|row| row.name == "host-1").map_or(0, |row| row.matched)
@@ -74,11 +83,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_proposal_of_a_deposed_leader_is_answered(#[case] body: Body, #[case] verdict: Verdict) {
     let cluster = Cluster::new(1, 1);
-    let group = start(&cluster);
-    group.receive(Id(2), Message { term: 0, body: Body::Campaign });
-    let vote = Body::Answer { pre: false, granted: true };
-    group.receive(Id(2), Message { term: 1, body: vote });
-    until("leadership", || async { group.standing().leads.then_some(()) }).await;
+    let group = lead(&cluster).await;
 
     let command = worker::Command::Drain { worker: "worker-1".into(), draining: true };
     let proposal = group.propose(Command::Worker(command), PATIENCE);
@@ -98,11 +103,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_read_of_a_leader_without_a_quorum_is_refused() {
     let cluster = Cluster::new(1, 1);
-    let group = start(&cluster);
-    group.receive(Id(2), Message { term: 0, body: Body::Campaign });
-    let vote = Body::Answer { pre: false, granted: true };
-    group.receive(Id(2), Message { term: 1, body: vote });
-    until("leadership", || async { group.standing().leads.then_some(()) }).await;
+    let group = lead(&cluster).await;
     let error = group.read().await.expect_err("no quorum answers");
     assert_eq!(error.verdict, Verdict::NotRun);
     until("the end of the leadership", || async { (!group.standing().leads).then_some(()) }).await;
