Configuration: typed refusals without a quorum, on real daemons

Two of three control members are killed: requests are refused no_lease, reads no_quorum and not_run, and a change sent meanwhile has one outcome that its resend tells.

--- a/tests/fault_config.rs
+++ b/tests/fault_config.rs
@@ -223,3 +223,39 @@
     })
     .await;
 }
+
+/// Two of three control members are lost: every refusal is typed, and says what it knows.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_quorum_every_refusal_is_typed() {
+    let mut cluster = Cluster::new(4, 3);
+    cluster.extra = "[times]\nheartbeat_ms = 60\nelection_ms = 400\nentry_lease_ms = 800\n".into();
+    cluster.boot().await;
+    put(cluster.operators(3), "first", 0, "plan").await.expect("the first change fits");
+    cluster.kill(0);
+    cluster.kill(1);
+
+    let headers = [("idempotency-key", "a key")];
+    for idempotent in ["false", "true"] {
+        support::until("a lapsed lease", || async {
+            let headers = [headers[0], ("eelgrassvalve-idempotent", idempotent)];
+            let client = cluster.callers(3);
+            let sent = client.send(Method::POST, "/v1/requests/plan", &headers, "x".into());
+            let answer = sent.await.ok()?;
+            assert_eq!(answer.verdict, Some(Verdict::NotRun));
+            (answer.error().code == Code::NoLease).then_some(())
+        })
+        .await;
+    }
+    let read = cluster.config(3).await.expect_err("no quorum");
+    assert_eq!((read.code, read.verdict), (Code::NoQuorum, Verdict::NotRun));
+    let change = put(cluster.operators(3), "second", 1, "score").await.expect_err("no quorum");
+    assert_eq!(change.code, Code::NoQuorum);
+
+    // The quorum returns: the change has one outcome, and a resend tells it.
+    cluster.spawn(0);
+    cluster.spawn(1);
+    cluster.ready(3).await;
+    let outcome = put(cluster.operators(2), "second", 1, "score").await;
+    assert_eq!(outcome.expect("the version is current").version, 2);
+    assert_eq!(cluster.config(3).await.expect("is read").version, 2);
+}
