Decision cost: no scan of work without accelerators

Packing and the search for own cells walked every holder's seats for each cell. Fragmentation is now also measured for those jobs alone that all free accelerators together could hold.

--- a/examples/replay.rs
+++ b/examples/replay.rs
@@ -79,6 +79,7 @@
     urgent_in_time: BTreeSet<usize>,
     large_started: usize,
     fragmentation: f64,
+    scatter: f64,
     lost: u64,
 }
 
@@ -183,7 +184,8 @@
         }
         replay.step(STEP_MS);
         if elapsed_ms < ARRIVALS_MS && elapsed_ms.is_multiple_of(1_000) {
-            outcome.fragmentation += fragmentation(&replay, &mix);
+            outcome.fragmentation += measured(&replay, &mix, score::fragmentation);
+            outcome.scatter += measured(&replay, &mix, score::scatter);
             samples += 1;
         }
         if elapsed_ms == ARRIVALS_MS {
@@ -191,6 +193,7 @@
         }
     }
     outcome.fragmentation /= f64::from(samples.max(1));
+    outcome.scatter /= f64::from(samples.max(1));
     outcome.lost = replay.lost;
     collect(&replay, arrivals, &mut outcome);
     outcome
@@ -205,7 +208,11 @@
     mix
 }
 
-fn fragmentation(replay: &Replay, mix: &BTreeMap<Demand, u64>) -> f64 {
+fn measured(
+    replay: &Replay,
+    mix: &BTreeMap<Demand, u64>,
+    measure: fn(&Board<'_>, &BTreeMap<Demand, u64>) -> f64,
+) -> f64 {
     let view = View {
         document: &replay.document,
         jobs: &replay.jobs,
@@ -213,7 +220,7 @@
         now_ms: replay.now_ms(),
         is_settled: true,
     };
-    score::fragmentation(&Board::new(&view, &Estimate::default()), mix)
+    measure(&Board::new(&view, &Estimate::default()), mix)
 }
 
 fn started(replay: &Replay, arrivals: &[Arrival], role: &str) -> usize {
@@ -271,6 +278,7 @@
     let reclaim = [baseline, cells].map(|outcome| worst(&outcome.start_ms["claim"]) / 1e3);
     row("longest reclaim of a guarantee, s", reclaim);
     row("mean fragmentation", [baseline.fragmentation, cells.fragmentation]);
+    row("of it for jobs that fit in total", [baseline.scatter, cells.scatter]);
     let gangs = baseline.done_ms["large"].len() as f64;
     let started = [baseline, cells].map(|outcome| outcome.large_started as f64 / gangs);
     row("large gangs started by the end", started);
@@ -278,6 +286,7 @@
     row("lost to eviction, accelerator-s", lost);
     row("completion, of first-fit", [1.0, all(cells) / all(baseline)]);
     row("fragmentation, of first-fit", [1.0, cells.fragmentation / baseline.fragmentation]);
+    row("that of jobs that fit in total", [1.0, cells.scatter / baseline.scatter]);
 }
 
 fn row(what: &str, values: [f64; 2]) {
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -79,6 +79,8 @@
     pub spots: Vec<Spot<'a>>,
     /// Gangs that hold accelerators.
     pub holders: Vec<Holder<'a>>,
+    /// Indices of all workers.
+    pub order: Vec<usize>,
     /// Indices of the workers of each rack.
     pub racks: Vec<Vec<usize>>,
     /// Indices of the workers of each availability zone.
@@ -103,6 +105,7 @@
         let mut board = Self {
             spots: Vec::with_capacity(workers.len()),
             holders: Vec::new(),
+            order: (0..workers.len()).collect(),
             racks: Vec::new(),
             zones: Vec::new(),
             by_name: HashMap::with_capacity(workers.len()),
--- a/src/placement/cells.rs
+++ b/src/placement/cells.rs
@@ -326,8 +326,11 @@
     }
 
     fn find_own(&self, job: &Job, free: &Area) -> Option<Vec<Seat>> {
-        let mut own = free.clone();
         let customer = self.board.customer(job)?;
+        if self.plan.size(Some(customer)) < job.spec.parts * job.spec.accelerators {
+            return None;
+        }
+        let mut own = free.clone();
         for (at, allowed) in own.allowed.iter_mut().enumerate() {
             *allowed &= self.plan.own(Some(customer), at);
         }
--- a/src/placement/eviction.rs
+++ b/src/placement/eviction.rs
@@ -118,6 +118,11 @@
 pub fn limit_to_share(area: &mut Area, board: &Board<'_>, plan: &Plan, customer: Option<usize>) {
     for (at, spot) in board.spots.iter().enumerate() {
         let own = i64::from(plan.own(customer, at).count_ones());
+        if own == 0 {
+            area.cores[at] = 0;
+            area.memory_mib[at] = 0;
+            continue;
+        }
         let all = i64::from(spot.worker.shape.accelerators.max(1));
         let mut cores = i64::from(spot.worker.shape.cores) * own / all;
         let mut memory_mib = spot.worker.shape.memory_mib as i64 * own / all;
--- a/src/placement/fit.rs
+++ b/src/placement/fit.rs
@@ -35,6 +35,10 @@
         area
     }
 
+    fn size(&self) -> u32 {
+        self.allowed.iter().map(|allowed| allowed.count_ones()).sum()
+    }
+
     // Parts of a job that cores and memory of a worker allow.
     fn room(&self, at: usize, job: &Job) -> usize {
         let mut room = job.spec.parts as i64;
@@ -53,34 +57,38 @@
 
 /// Cheapest seats for all parts, as close together as can be.
 pub fn find(board: &Board<'_>, job: &Job, area: &Area, cost: &Cost<'_>) -> Option<Vec<Seat>> {
-    let singles: Vec<Vec<usize>>;
-    let everything = [(0..board.spots.len()).collect::<Vec<usize>>()];
+    if area.size() < job.spec.parts * job.spec.accelerators {
+        return None;
+    }
     if job.spec.parts > 1 {
-        singles = (0..board.spots.len()).map(|at| vec![at]).collect();
-        if let Some(seats) = find_in(&singles, board, job, area, cost) {
+        if let Some(seats) = find_in(board.order.chunks(1), board, job, area, cost) {
             return Some(seats);
         }
         if job.spec.adjacency == Adjacency::Worker {
             return None;
         }
-        if let Some(seats) = find_in(&board.racks, board, job, area, cost) {
+        if let Some(seats) = find_in(slices(&board.racks), board, job, area, cost) {
             return Some(seats);
         }
         if job.spec.adjacency == Adjacency::Rack {
             return None;
         }
-        if let Some(seats) = find_in(&board.zones, board, job, area, cost) {
+        if let Some(seats) = find_in(slices(&board.zones), board, job, area, cost) {
             return Some(seats);
         }
         if job.spec.adjacency == Adjacency::Zone {
             return None;
         }
     }
-    find_in(&everything, board, job, area, cost)
+    find_in(std::iter::once(board.order.as_slice()), board, job, area, cost)
+}
+
+fn slices(groups: &[Vec<usize>]) -> impl Iterator<Item = &[usize]> {
+    groups.iter().map(Vec::as_slice)
 }
 
-fn find_in(
-    groups: &[Vec<usize>],
+fn find_in<'g>(
+    groups: impl Iterator<Item = &'g [usize]>,
     board: &Board<'_>,
     job: &Job,
     area: &Area,
--- a/src/placement/guarantee.rs
+++ b/src/placement/guarantee.rs
@@ -125,6 +125,19 @@
     rack_size: u32,
     plan: Plan,
     rest: BTreeMap<(usize, Cell), u32>,
+    // Work with accelerators, by worker.
+    work: Vec<Vec<Work>>,
+    // Whether a customer has work inside its guarantee.
+    has_own: Vec<bool>,
+}
+
+/// What a gang has on one worker.
+#[derive(Clone, Copy)]
+struct Work {
+    block: u32,
+    customer: Option<usize>,
+    guaranteed: bool,
+    firm: bool,
 }
 
 impl<'a, 'b> Packer<'a, 'b> {
@@ -141,7 +154,36 @@
                 *rest.entry((at, guarantee.cell)).or_insert(0) += guarantee.count;
             }
         }
-        Self { document, board, rack_size, plan, rest }
+        let mut packer = Self {
+            document,
+            board,
+            rack_size,
+            plan,
+            rest,
+            work: vec![Vec::new(); workers],
+            has_own: vec![false; document.customers.len()],
+        };
+        packer.note_work();
+        packer
+    }
+
+    fn note_work(&mut self) {
+        for holder in &self.board.holders {
+            if let Some(customer) = holder.customer.filter(|_| holder.guaranteed) {
+                self.has_own[customer] = true;
+            }
+            for seat in &holder.seats {
+                if seat.block == 0 {
+                    continue;
+                }
+                self.work[seat.worker].push(Work {
+                    block: seat.block,
+                    customer: holder.customer,
+                    guaranteed: holder.guaranteed,
+                    firm: holder.guaranteed || !holder.job.spec.evictable,
+                });
+            }
+        }
     }
 
     fn run(mut self, old: &[Kept]) -> Plan {
@@ -156,6 +198,9 @@
         for own_work_only in [true, false] {
             for cell in LEVELS {
                 for customer in 0..self.document.customers.len() {
+                    if own_work_only && !self.has_own[customer] {
+                        continue;
+                    }
                     while self.rest.get(&(customer, cell)).is_some_and(|rest| *rest > 0) {
                         let Some(seats) = self.find(customer, cell, own_work_only) else { break };
                         self.take_one(customer, cell);
@@ -204,15 +249,13 @@
             return false;
         }
         let mut own_work = 0;
-        for &at in &spot.holders {
-            let holder = &self.board.holders[at];
-            let here = block_on(holder.seats.as_slice(), seat.worker);
-            if here & seat.block == 0 {
+        for work in &self.work[seat.worker] {
+            if work.block & seat.block == 0 {
                 continue;
             }
-            if holder.customer == Some(customer) {
-                own_work |= here;
-            } else if holder.guaranteed || !holder.job.spec.evictable {
+            if work.customer == Some(customer) {
+                own_work |= work.block;
+            } else if work.firm {
                 return false;
             }
         }
@@ -220,11 +263,13 @@
     }
 
     fn own_work(&self, customer: usize, seat: Seat) -> u32 {
+        if !self.has_own[customer] {
+            return 0;
+        }
         let mut own = 0;
-        for &at in &self.board.spots[seat.worker].holders {
-            let holder = &self.board.holders[at];
-            if holder.customer == Some(customer) && holder.guaranteed {
-                own |= block_on(&holder.seats, seat.worker);
+        for work in &self.work[seat.worker] {
+            if work.customer == Some(customer) && work.guaranteed {
+                own |= work.block;
             }
         }
         (own & seat.block).count_ones()
--- a/src/placement/score.rs
+++ b/src/placement/score.rs
@@ -47,11 +47,26 @@
 
 /// Share of free accelerators that a job of the mix could not use, 0 to 1.
 pub fn fragmentation(board: &Board<'_>, mix: &BTreeMap<Demand, u64>) -> f64 {
-    let mut free = 0;
-    for spot in &board.spots {
-        free += u64::from(spot.free().count_ones());
-    }
-    let jobs: u64 = mix.values().sum();
+    unusable_share(board, mix.iter())
+}
+
+/// The same for those jobs only that all free accelerators together could hold.
+pub fn scatter(board: &Board<'_>, mix: &BTreeMap<Demand, u64>) -> f64 {
+    let free = free(board);
+    let fits = |demand: &Demand| u64::from(demand.accelerators * demand.parts) <= free;
+    unusable_share(board, mix.iter().filter(|(demand, _)| fits(demand)))
+}
+
+fn free(board: &Board<'_>) -> u64 {
+    board.spots.iter().map(|spot| u64::from(spot.free().count_ones())).sum()
+}
+
+fn unusable_share<'m>(
+    board: &Board<'_>,
+    mix: impl Iterator<Item = (&'m Demand, &'m u64)> + Clone,
+) -> f64 {
+    let free = free(board);
+    let jobs: u64 = mix.clone().map(|(_, count)| count).sum();
     if free == 0 || jobs == 0 {
         return 0.0;
     }
