--- a/src/placement/cells.rs
+++ b/src/placement/cells.rs
@@ -304,27 +304,39 @@
         if self.failed.contains(&shape) {
             return false;
         }
-        let mut area = Area::free(&self.board);
+        let area = Area::free(&self.board);
+        if self.place_open(job, &area, shape, is_bound) {
+            return true;
+        }
         if let Some(seats) = self.find_own(job, &area) {
             self.seat(job, seats, true, "free, inside the guarantee");
             return true;
         }
-        if job.spec.evictable {
-            if is_bound && let Some(held) = &self.reservation {
-                for (allowed, block) in area.allowed.iter_mut().zip(&held.blocks) {
-                    *allowed &= !block;
-                }
-            }
-            if let Some(seats) = self.find(job, &area) {
-                let guaranteed = self.is_own(job, &seats) && !self.exceeds_share(job, &seats);
-                self.seat(job, seats, guaranteed, "free, least cost");
-                return true;
-            }
-        }
         self.failed.insert(shape);
         false
     }
 
+    // Anywhere, at the least cost; own cells carry no cost of a later reclaim.
+    fn place_open(&mut self, job: &'a Job, free: &Area, shape: Shape<'a>, is_bound: bool) -> bool {
+        let shape = shape.of_anyone();
+        if !job.spec.evictable || self.failed.contains(&shape) {
+            return false;
+        }
+        let mut area = free.clone();
+        if is_bound && let Some(held) = &self.reservation {
+            for (allowed, block) in area.allowed.iter_mut().zip(&held.blocks) {
+                *allowed &= !block;
+            }
+        }
+        let Some(seats) = self.find(job, &area) else {
+            self.failed.insert(shape);
+            return false;
+        };
+        let guaranteed = self.is_own(job, &seats) && !self.exceeds_share(job, &seats);
+        self.seat(job, seats, guaranteed, "free, least cost");
+        true
+    }
+
     fn find_own(&self, job: &Job, free: &Area) -> Option<Vec<Seat>> {
         let customer = self.board.customer(job)?;
         if self.plan.size(Some(customer)) < job.spec.parts * job.spec.accelerators {
--- a/src/placement/shape.rs
+++ b/src/placement/shape.rs
@@ -43,6 +43,11 @@
         Self { bound, ..self }
     }
 
+    /// The shape, where the customer makes no difference.
+    pub fn of_anyone(self) -> Self {
+        Self { customer: "", ..self }
+    }
+
     /// The shape as a key that outlives its job.
     pub fn digest(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
