--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::sync::watch;
 
 use super::{Entry, InFlight, claimed};
 use crate::error::{Code, Error, Result};
@@ -26,11 +27,15 @@
     pub(super) deadline_ms: Option<u64>,
 }
 
-/// Serves a request to its end, also where the caller goes away meanwhile.
+/// Serves a request to its end. Where the caller goes away meanwhile, one that waits is given up,
+/// and one that was sent is followed to its outcome.
 pub(super) async fn serve(entry: &Arc<Entry>, asked: Asked) -> Result<Answer> {
     let in_flight = entry.begin();
     let entry = entry.clone();
-    let served = tokio::spawn(async move { run(&entry, asked, &Arc::new(in_flight)).await });
+    // Closes when the listener drops this future.
+    let (_waits, caller) = watch::channel(());
+    let run = async move { run(&entry, asked, caller, &Arc::new(in_flight)).await };
+    let served = tokio::spawn(run);
     let result = match served.await {
         Ok(result) => result,
         Err(_) => Err(Error::may_have_run(Code::Internal, "the request was lost in this entry")),
@@ -40,8 +45,13 @@
     result
 }
 
-async fn run(entry: &Arc<Entry>, asked: Asked, in_flight: &Arc<InFlight>) -> Result<Answer> {
-    let request = admit(entry, &asked)?;
+async fn run(
+    entry: &Arc<Entry>,
+    asked: Asked,
+    caller: watch::Receiver<()>,
+    in_flight: &Arc<InFlight>,
+) -> Result<Answer> {
+    let request = Request { caller: Some(caller), ..admit(entry, &asked)? };
     let _held = hold(entry, &request)?;
     let Some(key) = &asked.key else {
         return send(entry, &request).await;
@@ -85,6 +95,7 @@
         payload: asked.payload.clone(),
         content_type: asked.content_type.clone(),
         is_idempotent: asked.is_idempotent,
+        caller: None,
         deadline_ms: now_ms + asked.deadline_ms.unwrap_or(kind.deadline_ms),
     })
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Rank, Table};
@@ -59,6 +59,16 @@
     pub is_idempotent: bool,
     /// When the caller no longer wants an answer, on the timer's clock, in milliseconds.
     pub deadline_ms: u64,
+    /// Open while the caller waits; `None` for a caller that always does.
+    pub caller: Option<watch::Receiver<()>>,
+}
+
+impl Request {
+    /// Waits until the caller has gone away.
+    async fn abandoned(&self) {
+        let Some(mut caller) = self.caller.clone() else { return std::future::pending().await };
+        while caller.changed().await.is_ok() {}
+    }
 }
 
 /// Routes requests of one entry.
--- a/src/routing/slot.rs
+++ b/src/routing/slot.rs
@@ -61,6 +61,10 @@
                 Ok(Grant::Shed) => Err(refuse(request, attempt, Code::OverLimit, "gave way to more urgent requests")),
                 Ok(Grant::Late) | Err(_) => Err(refuse(request, attempt, Code::Deadline, "the deadline can't be met any more")),
             },
+            () = request.abandoned() => {
+                self.queue.lock().remove(&ticket);
+                Err(refuse(request, attempt, Code::Deadline, "the caller went away"))
+            }
             () = self.timer.sleep_until(request.deadline_ms) => {
                 self.queue.lock().remove(&ticket);
                 let is_served = self.upstreams.lock().capacity(&request.kind, self.timer.now_ms()) > 0;
--- a/tests/fault_upstream.rs
+++ b/tests/fault_upstream.rs
@@ -16,6 +16,7 @@
 use eelgrassvalve::verdict::Verdict;
 use rstest::rstest;
 use support::hostile::{Hostile, Manner};
+use tokio::sync::watch;
 
 const DEADLINE: Duration = Duration::from_millis(700);
 
@@ -47,6 +48,15 @@
     }
 
     async fn run(&self, number: u64, is_idempotent: bool) -> Result<Answer> {
+        self.run_for(number, is_idempotent, None).await
+    }
+
+    async fn run_for(
+        &self,
+        number: u64,
+        is_idempotent: bool,
+        caller: Option<watch::Receiver<()>>,
+    ) -> Result<Answer> {
         let request = Request {
             number,
             kind: "plan".into(),
@@ -57,6 +67,7 @@
             content_type: None,
             is_idempotent,
             deadline_ms: self.timer.now_ms() + DEADLINE.as_millis() as u64,
+            caller,
         };
         self.router.run(&request, &|| Ok(())).await
     }
@@ -195,6 +206,7 @@
         content_type: None,
         is_idempotent: true,
         deadline_ms: bench.timer.now_ms() + 1_000,
+        caller: None,
     };
     let closed = || Err(Error::not_run(Code::NoLease, "the lease lapsed"));
     let error = bench.router.run(&request, &closed).await.expect_err("the gate is closed");
@@ -222,3 +234,23 @@
     // Five failures eject it; without ejection about 40 of 200 requests would fail.
     assert!((5..=8).contains(&failures), "{failures} failures");
 }
+
+#[tokio::test]
+async fn a_caller_that_goes_away_frees_its_place_in_the_queue() {
+    let upstream = Hostile::start("runner-1", Manner::Late(Duration::from_millis(300))).await;
+    let bench = Bench::new(&[]);
+    bench.announce(&upstream, 1);
+    let (here, caller) = watch::channel(());
+    let leaves = async {
+        while upstream.count("payload 1") == 0 || bench.router.waiting() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        drop(here);
+    };
+    let first = bench.run(1, false);
+    let second = bench.run_for(2, false, Some(caller));
+    let (first, second, ()) = tokio::join!(first, second, leaves);
+    assert!(first.is_ok_and(|answer| is_own(&answer, 1)));
+    assert_eq!(second.map_err(|error| error.verdict), Err(Verdict::NotRun));
+    assert_eq!((bench.router.waiting(), upstream.count("payload 2")), (0, 0));
+}
