Bound the sum of callers' bodies that are being read; free an unused probe

Cause: the bound on bodies was shared with operators and upstreams, so that a burst of callers' bodies could have kept announcements and configuration out. It now holds for callers only.

Cause: an ejected upstream whose probe slot was granted to a request that had given up meanwhile stayed in probing for ever.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -113,7 +113,7 @@
     let deadline_ms = shared::millis(&head.headers, "eelgrassvalve-deadline-ms", DEADLINE_MS)?;
     let content_type = shared::text(&head.headers, header::CONTENT_TYPE.as_str())?;
     let content_type = content_type.map(str::to_string);
-    let payload = entry.read(body, entry.settings.limits.body_bytes).await?;
+    let payload = entry.read_payload(body).await?;
     let asked = Asked { kind, customer, payload, content_type, key, is_idempotent, deadline_ms };
     request::serve(entry, asked).await
 }
@@ -136,7 +136,7 @@
     let (head, body) = request.into_parts();
     let customer = entry.tokens.customer(&head.headers)?;
     let key = shared::text(&head.headers, "idempotency-key")?.map(str::to_string);
-    let bytes = entry.read(body, entry.settings.limits.body_bytes).await?;
+    let bytes = entry.read_payload(body).await?;
     let spec: Spec = shared::parse(&bytes)?;
     check(entry, &customer, &spec)?;
     let id = match key {
@@ -232,7 +232,7 @@
 async fn cancel_many(entry: &Entry, request: Request) -> Result<Cancelled> {
     let (head, body) = request.into_parts();
     entry.tokens.customer(&head.headers)?;
-    let bytes = entry.read(body, entry.settings.limits.body_bytes).await?;
+    let bytes = entry.read_payload(body).await?;
     let batch: Cancel = shared::parse(&bytes)?;
     if batch.ids.len() > BATCH {
         let message = format!("more than {BATCH} jobs in one cancel");
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -135,14 +135,21 @@
 
     async fn read(&self, body: Body, limit: usize) -> crate::error::Result<Bytes> {
         let within = Duration::from_millis(self.settings.times.read_ms);
+        http::read(body, limit, within).await
+    }
+
+    // Bounded in sum, so that callers' bodies can take no memory from the other listeners.
+    async fn read_payload(&self, body: Body) -> crate::error::Result<Bytes> {
+        let limit = self.settings.limits.body_bytes;
         let announced = body.size_hint().upper().unwrap_or(limit as u64);
-        let reserved = announced.min(limit as u64) as u32;
+        let most = limit.min(self.settings.limits.queue_bytes) as u64;
+        let reserved = announced.min(most) as u32;
         let Ok(_reserved) = self.reading.try_acquire_many(reserved) else {
             let message = "too many bodies are being read at this entry";
             let error = Error::not_run(Code::OverLimit, message);
             return Err(error.retry_after(Duration::from_secs(1)));
         };
-        http::read(body, limit, within).await
+        self.read(body, limit).await
     }
 
     fn begin(self: &Arc<Self>) -> InFlight {
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -288,6 +288,8 @@
     pub fn release(&mut self, id: &str) {
         if let Some(known) = self.known.get_mut(id) {
             known.used = known.used.saturating_sub(1);
+            // A probe whose slot was not used says nothing: the next request is the probe.
+            known.health.leave();
         }
     }
 
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -15,6 +15,7 @@
 use support::cluster::Cluster;
 use support::until;
 use support::upstream::Upstream;
+use tokio::io::AsyncWriteExt;
 
 /// Slots of the replay.
 const SLOTS: usize = 40;
@@ -203,8 +204,44 @@
     println!("{ran} ran, {} refused", not_run.len());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_are_being_read_are_bounded_in_sum() {
+    let mut cluster = Cluster::new(1, 1);
+    cluster.extra = "[limits]\nqueue_bytes = 4096\n".into();
+    cluster.boot().await;
+    let document: Document = serde_json::from_value(serde_json::json!({
+        "kinds": [{ "name": "bulk", "rank": 0, "deadline_ms": 20_000 }],
+        "customers": [{ "name": "anyone" }],
+    }))
+    .expect("the document is valid");
+    cluster.apply(0, &document).await.expect("the document is accepted");
+    let platform = [cluster.hosts[0].platform()];
+    let upstream = Upstream::start("runner-1", &["bulk"], Duration::ZERO, &platform).await;
+    let payload = "x".repeat(3_000);
+    until("the upstream known", || async { send(&cluster, 0, "bulk", &payload).await.ok() }).await;
+
+    let slow = tokio::net::TcpStream::connect(cluster.hosts[0].callers()).await;
+    let mut slow = slow.expect("the listener accepts");
+    let head = "POST /v1/requests/bulk HTTP/1.1\r\nhost: x\r\ncontent-length: 3000\r\n\
+        idempotency-key: slow\r\n\r\nhalf";
+    slow.write_all(head.as_bytes()).await.expect("the listener reads");
+    let ran = upstream.journal().len();
+    let refused = until("a second body refused", || async {
+        send(&cluster, 0, "bulk", &payload).await.err()
+    })
+    .await;
+    assert_eq!(refused, Verdict::NotRun);
+    // Operators are not kept out, and the room is free again once the slow caller is gone.
+    cluster.apply(0, &document).await.expect("the document is accepted");
+    drop(slow);
+    until("room for the next body", || async { send(&cluster, 0, "bulk", &payload).await.ok() })
+        .await;
+    assert!(upstream.journal().len() > ran);
+}
+
 async fn send(cluster: &Cluster, at: usize, kind: &str, payload: &str) -> Result<(), Verdict> {
-    let headers = [("idempotency-key", payload), ("eelgrassvalve-idempotent", "true")];
+    let key = &payload[..payload.len().min(64)];
+    let headers = [("idempotency-key", key), ("eelgrassvalve-idempotent", "true")];
     let path = format!("/v1/requests/{kind}");
     let client = cluster.callers(at);
     let sent = client.send(Method::POST, &path, &headers, payload.to_string().into()).await;
