Leases of entries name workers once; use alone is not news

Cause: docs/CAPACITY.md showed two lines over the 9 KB/s budget at the target: each renewal named every worker (13 bytes each, each second), and any change of a task's reported use sent the worker's whole report to the leader. Ruled out: dropping workers from renewals, since the leader must hear of every worker to which an entry may grant a lease; a lease granted although the names were unknown, since such a worker could be called dead while its lease runs. Change: a renewal refers to the names of an earlier one by their revision; a leader that lacks them refuses the lease and is told at once. Use is news once it moved by 20 points of percent. The bytes are measured again by the capacity example below.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use eelgrassvalve::client::Client;
 use eelgrassvalve::entry::platform::{Poll, Polled};
-use eelgrassvalve::mesh::call::{Call, Renewal};
+use eelgrassvalve::mesh::call::{Call, Heard, Renewal};
 use eelgrassvalve::mesh::frame::{Frame, Notice, encode};
 use eelgrassvalve::placement::order::{Action, Order};
 use eelgrassvalve::placement::report::{Report, Shape, State, Task};
@@ -158,10 +158,12 @@
         show(&format!("poll answer, {tasks} orders, JSON"), body.len());
     }
     for workers in [0, 10, 82] {
-        let names = (0..workers).map(|at| format!("worker-{at:05}")).collect();
-        let renewal = Renewal { incarnation: u64::MAX / 3, version: 680, workers: names };
-        let call = Frame::Call { number: 1, call: Call::Renew(renewal) };
-        show(&format!("lease renewal, {workers} workers"), encode(&call).len());
+        let names: Vec<String> = (0..workers).map(|at| format!("worker-{at:05}")).collect();
+        let revision = Heard::revision(&names);
+        let first = renewal(Heard::Names(names));
+        show(&format!("lease renewal, {workers} new workers"), encode(&first).len());
+        let next = renewal(Heard::Same { revision });
+        show(&format!("lease renewal, {workers} same workers"), encode(&next).len());
     }
     let announce = Announce {
         address: "10.0.0.1:9000".parse().expect("an address"),
@@ -185,6 +187,11 @@
     show("replica heartbeat frame", encode(&Frame::Replica(Message { term: 7, body })).len());
 }
 
+fn renewal(workers: Heard) -> Frame {
+    let renewal = Renewal { incarnation: u64::MAX / 3, version: 680, workers };
+    Frame::Call { number: 1, call: Call::Renew(renewal) }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Usage {
     ticks: u64,
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::status;
+use crate::mesh::call::Heard;
 use crate::placement::Worker;
 use crate::placement::report::{Report, Task};
 use crate::state::worker;
@@ -28,6 +29,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     known: BTreeMap<String, Known>,
+    // Workers that each entry named last, with their revision.
+    named: BTreeMap<String, (u32, Vec<String>)>,
 }
 
 impl Table {
@@ -38,13 +41,24 @@
         self.known.insert(name, known);
     }
 
-    /// Notes that an entry heard these workers.
-    pub fn hear(&mut self, entry: &str, workers: &[String], now_ms: u64) {
-        for name in workers {
+    /// Notes which workers an entry heard; `false` where it refers to names that are not known.
+    pub fn hear(&mut self, entry: &str, heard: &Heard, now_ms: u64) -> bool {
+        if let Heard::Names(names) = heard {
+            let named = (Heard::revision(names), names.clone());
+            self.named.insert(entry.into(), named);
+        }
+        let Some((revision, names)) = self.named.get(entry) else { return false };
+        if matches!(heard, Heard::Same { revision: told } if told != revision) {
+            return false;
+        }
+        for name in names {
             let Some(known) = self.known.get_mut(name) else { continue };
             known.heard_ms = now_ms;
-            known.entry = entry.into();
+            if known.entry != entry {
+                known.entry = entry.into();
+            }
         }
+        true
     }
 
     /// Workers heard within the patience, sorted by name.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -192,6 +192,10 @@
         // Only a current leader may grant: an old one might hand out an old document.
         self.group.read().await?;
         let now_ms = self.timer.now_ms();
+        // An entry with a lease may grant leases to workers, which must count as heard.
+        if !self.fleet.lock().hear(from, &renewal.workers, now_ms) {
+            return Err(Error::not_run(Code::Conflict, "the names of the workers are not known"));
+        }
         let length_ms = self.settings.times.entry_lease_ms;
         let (version, document, entries) = {
             // Held until the lease is noted: whoever waits for a later version must see it.
@@ -204,7 +208,6 @@
             leases.grant(from, renewal, version, now_ms, until_ms);
             (version, document, leases.live(now_ms))
         };
-        self.fleet.lock().hear(from, &renewal.workers, now_ms);
         self.renewed.notify_waiters();
         let term = self.standing().term;
         Ok(Lease { length_ms, term, version, document, entries })
--- a/src/entry/polls.rs
+++ b/src/entry/polls.rs
@@ -65,7 +65,7 @@
         held.heard_ms = now_ms;
         let news = if !held.is_known {
             News::First
-        } else if held.report.as_ref() != Some(report) {
+        } else if held.report.as_ref().is_none_or(|told| report.is_news_after(told)) {
             News::Changed
         } else {
             News::None
--- a/src/entry/standing.rs
+++ b/src/entry/standing.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use super::Entry;
-use crate::mesh::call::{Answer, Call, Renewal};
+use crate::error::Code;
+use crate::mesh::call::{Answer, Call, Heard, Renewal};
 use crate::state::document::Document;
 use crate::telemetry::Metrics;
 
@@ -36,8 +37,9 @@
 pub async fn keep(entry: Arc<Entry>) {
     let length_ms = entry.settings.times.entry_lease_ms;
     let mut ticks = entry.timer.subscribe(Duration::from_millis((length_ms / 3).max(10)));
+    let mut named = None;
     loop {
-        renew(&entry, length_ms).await;
+        named = renew(&entry, length_ms, named).await;
         tokio::select! {
             _ = ticks.tick() => {}
             () = entry.renew_now.notified() => {}
@@ -45,26 +47,35 @@
     }
 }
 
-async fn renew(entry: &Entry, length_ms: u64) {
+// Takes and returns the revision of the workers whose names the leader has, if it has any.
+async fn renew(entry: &Entry, length_ms: u64, named: Option<u32>) -> Option<u32> {
     let sent_ms = entry.timer.now_ms();
+    let names = entry.polls.heard(sent_ms);
+    let revision = Heard::revision(&names);
+    let is_named = named == Some(revision);
+    let workers = if is_named { Heard::Same { revision } } else { Heard::Names(names) };
     let renewal = Renewal {
         incarnation: entry.owner.incarnation,
         version: entry.standing.lock().version,
-        workers: entry.polls.heard(sent_ms),
+        workers,
     };
     // A renewal that takes longer than the lease could give nothing.
     let within = Duration::from_millis(length_ms / 2);
     let lease = match entry.client.call(Call::Renew(renewal), within).await {
         Ok(Answer::Lease(lease)) => lease,
-        Ok(_) => return,
+        Ok(_) => return None,
         Err(error) => {
             tracing::debug!(%error, "lease not renewed");
-            return;
+            if error.code == Code::Conflict {
+                // The leader wants the names: they are sent without waiting for the next turn.
+                entry.renew_now.notify_one();
+            }
+            return None;
         }
     };
     if lease.version < entry.standing.lock().version {
         tracing::warn!(version = lease.version, "lease refused: its configuration is older");
-        return;
+        return None;
     }
     if entry.standing.lock().term != lease.term {
         // A new leader knows no worker yet.
@@ -76,9 +87,9 @@
     standing.until_ms = standing.until_ms.max(sent_ms + lease.length_ms);
     standing.sent_ms = sent_ms;
     standing.entries = lease.entries;
-    let Some(document) = lease.document else { return };
+    let Some(document) = lease.document else { return Some(revision) };
     if lease.version <= standing.version {
-        return;
+        return Some(revision);
     }
     standing.version = lease.version;
     standing.document = Arc::new(*document);
@@ -87,4 +98,5 @@
     drop(standing);
     // The leader learns at once that the version is in force here.
     entry.renew_now.notify_one();
+    Some(revision)
 }
--- a/src/mesh/call.rs
+++ b/src/mesh/call.rs
@@ -80,8 +80,32 @@
     pub incarnation: u64,
     /// Configuration version in force at the entry.
     pub version: u64,
-    /// Workers heard since the last renewal.
-    pub workers: Vec<String>,
+    /// Workers heard lately.
+    pub workers: Heard,
+}
+
+/// Workers that an entry heard lately.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Heard {
+    /// Their names, sorted.
+    Names(Vec<String>),
+    /// The same as those of an earlier renewal to the same leader.
+    Same {
+        /// Revision of the names.
+        revision: u32,
+    },
+}
+
+impl Heard {
+    /// Revision of a list of names, the same at every daemon.
+    pub fn revision(names: &[String]) -> u32 {
+        let mut hasher = crc32fast::Hasher::new();
+        for name in names {
+            hasher.update(name.as_bytes());
+            hasher.update(b"\n");
+        }
+        hasher.finalize()
+    }
 }
 
 /// A lease for an entry.
--- a/src/placement/report.rs
+++ b/src/placement/report.rs
@@ -34,6 +34,31 @@
     pub tasks: Vec<Task>,
 }
 
+/// Change of a task's use that the leader is told of, in percent of what was declared.
+const USAGE_STEP_PERCENT: u32 = 20;
+
+impl Report {
+    /// Whether the leader, which has the report `told`, needs this one.
+    pub fn is_news_after(&self, told: &Self) -> bool {
+        let same_worker = self.incarnation == told.incarnation
+            && self.rack == told.rack
+            && self.zone == told.zone
+            && self.shape == told.shape;
+        if !same_worker || self.tasks.len() != told.tasks.len() {
+            return true;
+        }
+        for (task, before) in self.tasks.iter().zip(&told.tasks) {
+            let used = task.usage_percent.unwrap_or(0);
+            let moved = used.abs_diff(before.usage_percent.unwrap_or(0));
+            let as_before = Task { usage_percent: before.usage_percent, ..task.clone() };
+            if as_before != *before || moved >= USAGE_STEP_PERCENT {
+                return true;
+            }
+        }
+        false
+    }
+}
+
 /// A task as its worker sees it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,63 @@
+//! What the leader learns of workers: news in reports, and workers named by renewals.
+
+use eelgrassvalve::control::fleet;
+use eelgrassvalve::mesh::call::Heard;
+use eelgrassvalve::placement::report::{Report, Shape, State, Task};
+use rstest::rstest;
+
+fn report(worker: &str) -> Report {
+    let task = Task {
+        job: "a.1".into(),
+        part: 0,
+        epoch: 7,
+        state: State::Running,
+        checkpoint: None,
+        usage_percent: Some(50),
+    };
+    Report {
+        worker: worker.into(),
+        incarnation: 1,
+        rack: "rack-1".into(),
+        zone: "zone-1".into(),
+        shape: Shape { accelerators: 8, cores: 64, memory_mib: 1_024 },
+        tasks: vec![task],
+    }
+}
+
+#[rstest]
+#[case::nothing(|_: &mut Report| {}, false)]
+#[case::use_moved_a_little(|r: &mut Report| r.tasks[0].usage_percent = Some(69), false)]
+#[case::use_moved_much(|r: &mut Report| r.tasks[0].usage_percent = Some(70), true)]
+#[case::use_fell(|r: &mut Report| r.tasks[0].usage_percent = None, true)]
+#[case::state(|r: &mut Report| r.tasks[0].state = State::Finished, true)]
+#[case::epoch(|r: &mut Report| r.tasks[0].epoch = 8, true)]
+#[case::checkpoint(|r: &mut Report| r.tasks[0].checkpoint = Some("c".into()), true)]
+#[case::task_gone(|r: &mut Report| r.tasks.clear(), true)]
+#[case::restarted(|r: &mut Report| r.incarnation = 2, true)]
+#[case::shape(|r: &mut Report| r.shape.accelerators = 7, true)]
+fn a_report_is_news(#[case] change: fn(&mut Report), #[case] expected: bool) {
+    let mut later = report("w");
+    change(&mut later);
+    assert_eq!(later.is_news_after(&report("w")), expected);
+}
+
+#[test]
+fn a_renewal_may_refer_to_names_that_the_leader_has() {
+    let mut fleet = fleet::Table::default();
+    fleet.report("entry-1", report("w-1"), 100);
+    let names = vec!["w-1".to_string()];
+    let same = Heard::Same { revision: Heard::revision(&names) };
+
+    // A new leader, or one that has other names, must be told them first.
+    assert!(!fleet.hear("entry-1", &same, 200));
+    assert_eq!(fleet.heard_ms("w-1"), Some(100));
+
+    assert!(fleet.hear("entry-1", &Heard::Names(names), 300));
+    assert!(fleet.hear("entry-1", &same, 400));
+    assert_eq!(fleet.heard_ms("w-1"), Some(400));
+    assert!(!fleet.hear("entry-2", &same, 500));
+
+    let other = Heard::revision(&["w-1".to_string(), "w-2".to_string()]);
+    assert!(!fleet.hear("entry-1", &Heard::Same { revision: other }, 600));
+    assert_eq!(fleet.heard_ms("w-1"), Some(400));
+}
