Placement: the round of a decision in a file of its own

The registered policy with its soft state stays there; the decision in the making moved to round.rs without a change of behaviour. guarantee, fault_placement, gang, path and settings pass as before.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -16,6 +16,7 @@
 pub mod order;
 mod queue;
 pub mod report;
+mod round;
 pub mod score;
 mod shape;
 
