--- a/tests/fault_route.rs
+++ b/tests/fault_route.rs
@@ -582,6 +582,42 @@
     assert_eq!(leaving.journal().len(), before);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_shares_of_a_killed_entry_move_to_the_others() {
+    let mut cluster = Cluster::start(3, 3).await;
+    cluster.apply(0, &document()).await.expect("the document is accepted");
+    let platform: Vec<_> = cluster.hosts.iter().map(|host| host.platform()).collect();
+    let work = Duration::from_secs(1);
+    let upstream = Upstream::start("runner-1", &["plan"], work, &platform[..2]).await;
+    let used = async |cluster: &Cluster| {
+        let rows = cluster.operators(0).get::<serde_json::Value>("/v1/upstreams").await.ok()?;
+        rows.get(0)?.get("used")?.as_u64()
+    };
+    until("the upstream", || async { send(&cluster, 0, &[]).await.ok() }).await;
+    cluster.kill(2);
+    // Both that are left are kept busy; neither can borrow from the other.
+    let mut callers = tokio::task::JoinSet::new();
+    for at in 0..2 {
+        for _ in 0..16 {
+            let client = cluster.callers(at);
+            callers.spawn(async move {
+                for _ in 0..30 {
+                    let key = uuid::Uuid::now_v7().to_string();
+                    let headers =
+                        [("idempotency-key", key.as_str()), ("eelgrassvalve-idempotent", "true")];
+                    let path = "/v1/requests/plan";
+                    let _ = client.send(Method::POST, path, &headers, "x".into()).await;
+                }
+            });
+        }
+    }
+    // Eight slots over two entries; over three it would hold two or three.
+    until("half of the slots in use", || async { (used(&cluster).await? == 4).then_some(()) })
+        .await;
+    callers.abort_all();
+    drop(upstream);
+}
+
 async fn send(cluster: &Cluster, at: usize, upstreams: &[&Upstream]) -> Result<usize> {
     let key = uuid::Uuid::now_v7().to_string();
     let headers = [("idempotency-key", key.as_str()), ("eelgrassvalve-idempotent", "true")];
