--- a/src/control/scheduler.rs
+++ b/src/control/scheduler.rs
@@ -19,8 +19,8 @@
 use crate::state::{Command, Machine};
 use crate::telemetry::{DECISION, Metrics};
 
-/// Longest time between two rounds.
-const ROUND: Duration = Duration::from_millis(200);
+/// Longest time between two rounds; what changes jobs or workers begins one at once.
+const ROUND: Duration = Duration::from_secs(1);
 /// Time between two measurements of fragmentation.
 const MEASURE: Duration = Duration::from_secs(5);
 
