--- a/src/replica/store.rs
+++ b/src/replica/store.rs
@@ -4,24 +4,23 @@
 //! whole (written aside, synced, renamed, folder synced).
 
 pub mod disk;
+mod error;
 mod record;
 
 use std::fs::{self, File, OpenOptions};
 use std::io;
 use std::path::{Path, PathBuf};
 
-use derive_more::{Display, Error};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use super::member::{Id, Members};
 use super::{Entry, Saved, Snapshot, Vote};
 use disk::{Disk, System};
+pub use error::{Error, Result};
+use error::{corrupt, io_error};
 use record::{Fault, Record};
 
-/// Result of using the data folder.
-pub type Result<T> = std::result::Result<T, Error>;
-
 /// Bytes after which a new segment begins.
 const SEGMENT_BYTES: u64 = 4 << 20;
 const IDENTITY: &str = "identity";
@@ -30,51 +29,6 @@
 const SEGMENT: &str = "log-";
 const ASIDE: &str = ".new";
 
-/// A fault of the data folder.
-#[derive(Debug, Display, Error)]
-pub enum Error {
-    /// The operating system refused.
-    #[display("{}: {source}", path.display())]
-    Io {
-        /// File or folder.
-        path: PathBuf,
-        /// Cause.
-        source: io::Error,
-    },
-    /// Another daemon uses the folder.
-    #[display("{}: another daemon uses this folder", path.display())]
-    Locked {
-        /// Folder.
-        path: PathBuf,
-    },
-    /// Synced data can't be read back.
-    #[display(
-        "{} at byte {offset}: {detail}; synced state of this member is lost: stop it, move the \
-         data folder away, start it with an empty one, add the new member and remove the old one",
-        path.display()
-    )]
-    Corrupt {
-        /// File.
-        path: PathBuf,
-        /// Offset of the fault, in bytes.
-        offset: u64,
-        /// What was found.
-        detail: String,
-    },
-    /// The folder already holds a member.
-    #[display("{}: already holds a member; bootstrap is for an empty folder", path.display())]
-    NotEmpty {
-        /// Folder.
-        path: PathBuf,
-    },
-    /// An earlier operation failed, so what the folder holds is unknown.
-    #[display("{}: not used after a failed write or sync", path.display())]
-    Failed {
-        /// Folder.
-        path: PathBuf,
-    },
-}
-
 /// An open data folder.
 #[derive(Debug)]
 pub struct Store {
@@ -426,14 +380,6 @@
     Ok(file)
 }
 
-fn io_error(path: &Path, source: io::Error) -> Error {
-    Error::Io { path: path.into(), source }
-}
-
-fn corrupt(path: &Path, offset: usize, detail: &str) -> Error {
-    Error::Corrupt { path: path.into(), offset: offset as u64, detail: detail.into() }
-}
-
 fn cut(path: &Path, length: u64) -> Result<()> {
     let opened = OpenOptions::new().write(true).open(path);
     let file = opened.map_err(|e| io_error(path, e))?;
