Tests: one way to start stand-in workers

Cause: tests/gang.rs and tests/reclaim.rs had the same function. Ruled out: none; it moves to tests/support/worker.rs as it was. Conclusion: no change of behaviour.

--- a/tests/gang.rs
+++ b/tests/gang.rs
@@ -18,7 +18,7 @@
 use support::cluster::Cluster;
 use support::replay::spec;
 use support::until;
-use support::worker::{Manner, Worker};
+use support::worker::{Manner, Worker, start_workers};
 
 /// Longest time from submission to start of an urgent job.
 const URGENT: Duration = Duration::from_millis(6_200);
@@ -256,16 +256,6 @@
     .await
 }
 
-fn start_workers(cluster: &Cluster, manners: &[Manner]) -> Vec<Worker> {
-    let platform: Vec<_> = cluster.hosts.iter().map(|host| host.platform()).collect();
-    let mut workers = Vec::new();
-    for (at, manner) in manners.iter().enumerate() {
-        let name = format!("worker-{at}");
-        workers.push(Worker::start(&name, "rack-1", "zone-1", *manner, &platform));
-    }
-    workers
-}
-
 async fn cluster(grace_ms: u64) -> Cluster {
     let cluster = Cluster::start(1, 1).await;
     cluster.apply(0, &document(grace_ms)).await.expect("the document is accepted");
--- a/tests/reclaim.rs
+++ b/tests/reclaim.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use support::cluster::Cluster;
 use support::until;
-use support::worker::{Manner, Worker};
+use support::worker::{Manner, Worker, start_workers};
 
 /// Longest time from a claim on a guarantee to the start of its work.
 const RECLAIM: Duration = Duration::from_millis(6_200);
@@ -28,16 +28,6 @@
     serde_json::from_value(document).expect("the document is whole")
 }
 
-fn start_workers(cluster: &Cluster, manners: &[Manner]) -> Vec<Worker> {
-    let platform: Vec<_> = cluster.hosts.iter().map(|host| host.platform()).collect();
-    let mut workers = Vec::new();
-    for (at, manner) in manners.iter().enumerate() {
-        let name = format!("worker-{at}");
-        workers.push(Worker::start(&name, "rack-1", "zone-1", *manner, &platform));
-    }
-    workers
-}
-
 async fn submit(cluster: &Cluster, at: usize, customer: &str, spec: serde_json::Value) -> Job {
     let headers = [("eelgrassvalve-customer", customer)];
     let client = cluster.callers(at);
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -12,6 +12,8 @@
 use http::Method;
 use tokio::task::JoinHandle;
 
+use super::cluster::Cluster;
+
 /// How a stand-in behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Manner {
@@ -65,6 +67,17 @@
     }
 }
 
+/// Starts `worker-0` and so on in one rack, one for each manner, known to all entries.
+pub fn start_workers(cluster: &Cluster, manners: &[Manner]) -> Vec<Worker> {
+    let platform: Vec<_> = cluster.hosts.iter().map(|host| host.platform()).collect();
+    let mut workers = Vec::new();
+    for (at, manner) in manners.iter().enumerate() {
+        let name = format!("worker-{at}");
+        workers.push(Worker::start(&name, "rack-1", "zone-1", *manner, &platform));
+    }
+    workers
+}
+
 impl Drop for Worker {
     fn drop(&mut self) {
         self.task.abort();
