Log: colours on a terminal only

Cause: running the README's first session showed colour codes inside the log file, so a search for `reason="..."` found nothing. Ruled out: a setting; whether standard error is a terminal says it.

--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Logs and metrics.
 
+use std::io::IsTerminal;
 use std::sync::OnceLock;
 
 use opentelemetry::KeyValue;
@@ -18,7 +19,11 @@
 pub fn start_log(format: LogFormat) {
     let filter = EnvFilter::try_from_env("EELGRASSVALVE_LOG")
         .unwrap_or_else(|_| EnvFilter::new("info,volo_http=warn"));
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        // Colours in a file would stand in the way of searching it.
+        .with_ansi(std::io::stderr().is_terminal());
     // A second daemon in the same process shares the first one's log.
     let _ = match format {
         LogFormat::Human => builder.try_init(),
