One check of names at the listeners, one error for unexpected answers

Cause: reading the whole change again showed the check of names in entry/platform.rs beside its twin in entry/http.rs, and the same function for unexpected answers in three files. Ruled out: merging the two views in tests/support/replay.rs, since one of them is held while the policy is borrowed for change. Conclusion: no change of behaviour.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -52,7 +52,7 @@
     pub async fn propose(&self, command: Command, within: Duration) -> Result<Reply> {
         match self.call(Call::Propose(command), within).await? {
             Answer::Reply(reply) => Ok(reply),
-            other => Err(unexpected(&other)),
+            other => Err(Error::unexpected(&other)),
         }
     }
 
@@ -147,7 +147,3 @@
 fn is_final(error: &Error) -> bool {
     !matches!(error.code, Code::NoQuorum | Code::NotLeader)
 }
-
-fn unexpected(answer: &Answer) -> Error {
-    Error::may_have_run(Code::Internal, format!("unexpected answer {answer:?}"))
-}
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -131,7 +131,7 @@
     let command = Command::Job(job::Command::Submit { id, customer, spec });
     match entry.client.propose(command, COMMIT).await? {
         Reply::Job(job) => Ok(*job),
-        other => Err(unexpected(&other)),
+        other => Err(Error::unexpected(&other)),
     }
 }
 
@@ -171,7 +171,7 @@
     let customer = Some(entry.tokens.customer(request.headers())?);
     match entry.client.call(Call::Jobs { customer }, COMMIT).await? {
         Answer::Jobs(jobs) => Ok(jobs),
-        other => Err(unexpected(&other)),
+        other => Err(Error::unexpected(&other)),
     }
 }
 
@@ -183,7 +183,7 @@
         let job = match entry.client.call(Call::Job { id: id.clone() }, COMMIT).await? {
             Answer::Job(Some(job)) if job.customer == customer => job,
             Answer::Job(_) => return Err(Error::not_run(Code::NotFound, format!("no job {id}"))),
-            other => return Err(unexpected(&other)),
+            other => return Err(Error::unexpected(&other)),
         };
         let is_over = job.phase.is_final() || entry.timer.now_ms() >= until_ms;
         if is_over || entry.is_draining() {
@@ -231,10 +231,6 @@
     let command = Command::Job(job::Command::Cancel { customer, ids });
     match entry.client.propose(command, COMMIT).await? {
         Reply::Jobs(cancelled) => Ok(Cancelled { cancelled }),
-        other => Err(unexpected(&other)),
+        other => Err(Error::unexpected(&other)),
     }
 }
-
-fn unexpected(answer: &impl std::fmt::Debug) -> Error {
-    Error::may_have_run(Code::Internal, format!("unexpected answer {answer:?}"))
-}
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -114,7 +114,7 @@
         self.check_token(&request)?;
         match self.call(Call::Config).await? {
             Answer::Config { version, document } => Ok(Config { version, document: *document }),
-            other => Err(unexpected(&other)),
+            other => Err(Error::unexpected(&other)),
         }
     }
 
@@ -138,7 +138,7 @@
         let command = Command::Configure(change);
         let version = match self.0.client.propose(command, COMMIT).await? {
             Reply::Configured(version) => version,
-            other => return Err(unexpected(&other)),
+            other => return Err(Error::unexpected(&other)),
         };
         let call = Call::AwaitInForce { version, within_ms: IN_FORCE_MS };
         let within = Duration::from_millis(IN_FORCE_MS + 1_000);
@@ -157,7 +157,7 @@
     async fn faults(&self, document: &Document) -> Result<Vec<Fault>> {
         match self.call(Call::Check(Box::new(document.clone()))).await? {
             Answer::Faults(faults) => Ok(faults),
-            other => Err(unexpected(&other)),
+            other => Err(Error::unexpected(&other)),
         }
     }
 
@@ -165,7 +165,7 @@
         self.check_token(&request)?;
         match self.call(Call::Status).await? {
             Answer::Status(cluster) => Ok(*cluster),
-            other => Err(unexpected(&other)),
+            other => Err(Error::unexpected(&other)),
         }
     }
 
@@ -173,7 +173,7 @@
         self.check_token(&request)?;
         match self.call(Call::Workers).await? {
             Answer::Workers(workers) => Ok(workers),
-            other => Err(unexpected(&other)),
+            other => Err(Error::unexpected(&other)),
         }
     }
 
@@ -233,11 +233,7 @@
         self.check_token(&request)?;
         match self.call(Call::Explain { id }).await? {
             Answer::Text(text) => Ok(Text { text }),
-            other => Err(unexpected(&other)),
+            other => Err(Error::unexpected(&other)),
         }
     }
 }
-
-fn unexpected(answer: &impl std::fmt::Debug) -> Error {
-    Error::may_have_run(Code::Internal, format!("unexpected answer {answer:?}"))
-}
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -18,7 +18,6 @@
 use crate::placement::report::Report;
 use crate::routing::table::Heard;
 use crate::routing::upstream::Announce;
-use crate::state::document::is_name;
 
 /// Longest body of an announcement or poll, in bytes.
 const BODY_BYTES: usize = 1 << 20;
@@ -71,18 +70,10 @@
         .route("/v1/workers/{id}/poll", poll.fallback(shared::missing))
 }
 
-fn check_name(what: &str, id: &str) -> Result<()> {
-    if is_name(id) {
-        return Ok(());
-    }
-    let message = format!("{what} `{id}` is not 1 to 64 of a-z, 0-9, - and _");
-    Err(Error::not_run(Code::BadRequest, message))
-}
-
 async fn announce(entry: Arc<Entry>, id: String, request: Request) -> Result<Announced> {
     let (head, body) = request.into_parts();
     entry.tokens.check(&head.headers, &Role::Upstream)?;
-    check_name("upstream", &id)?;
+    shared::check_name("upstream", &id)?;
     let bytes = entry.read(body, BODY_BYTES).await?;
     let announce: Announce = shared::parse(&bytes)?;
     announce.check().map_err(|fault| Error::not_run(Code::BadRequest, fault.to_string()))?;
@@ -101,7 +92,7 @@
 async fn poll(entry: Arc<Entry>, id: String, request: Request) -> Result<Polled> {
     let (head, body) = request.into_parts();
     entry.tokens.check(&head.headers, &Role::Worker)?;
-    check_name("worker", &id)?;
+    shared::check_name("worker", &id)?;
     let bytes = entry.read(body, BODY_BYTES).await?;
     let mut poll: Poll = shared::parse(&bytes)?;
     if poll.report.shape.accelerators > 32 {
--- a/src/error.rs
+++ b/src/error.rs
@@ -134,6 +134,11 @@
         Self::new(Verdict::MayHaveRun, code, message)
     }
 
+    /// An answer of a kind that the call can't have: what the call did is unknown.
+    pub fn unexpected(answer: &impl std::fmt::Debug) -> Self {
+        Self::may_have_run(Code::Internal, format!("unexpected answer {answer:?}"))
+    }
+
     /// The error as told to a caller that sent the request before: what became of the earlier
     /// send is not known here.
     #[must_use]
