--- /dev/null
+++ b/src/batch/fleet.rs
@@ -0,0 +1,404 @@
+//! What a leader knows of workers: heartbeats, leases, and how their runs go.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use tokio::sync::Notify;
+
+use super::job::{Demand, Name, State};
+use super::table::{End, Table};
+use super::worker::{Beat, How, Orders, Start};
+
+/// Largest deviation of a worker's clock, as a divisor: 2% slow, and as much again in reserve.
+const DRIFT: u64 = 25;
+/// Reserve on top of a lease before its runs count as ended, in milliseconds: one late timer.
+const SLACK_MS: u64 = 300;
+/// Silence after which a worker gets no new work, in milliseconds: two missed heartbeats.
+const SILENT_MS: u64 = 2_500;
+/// Time without any progress after which a run counts as stuck, in milliseconds.
+const STUCK_MS: u64 = 2_500;
+/// First exclusion of a worker that failed or stalled a run, in milliseconds; it doubles.
+const EXCLUDE_MS: u64 = 1_500;
+/// Longest exclusion of a worker, in milliseconds.
+const EXCLUDE_MAX_MS: u64 = 12_000;
+
+/// Milliseconds after a heartbeat was heard until a lease granted for it has surely ended.
+pub fn lease_bound_ms(lease_ms: u64) -> u64 {
+    lease_ms + lease_ms / DRIFT + SLACK_MS
+}
+
+/// A worker as heard.
+#[derive(Debug)]
+pub struct Session {
+    /// Latest heartbeat.
+    pub beat: Beat,
+    /// When it was heard, on the leader's clock, in milliseconds.
+    pub heard_ms: u64,
+    /// When every lease granted to it has surely ended, in milliseconds.
+    pub lease_until_ms: u64,
+    /// Woken where the worker has orders.
+    pub orders: Arc<Notify>,
+    // Given with the answer to the latest heartbeat.
+    sent: BTreeSet<(Name, u32)>,
+    watched: BTreeMap<(Name, u32), Watch>,
+    health: Health,
+}
+
+/// How the runs of a worker ended lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct Health {
+    strikes: u32,
+    excluded_until_ms: u64,
+}
+
+impl Health {
+    fn strike(&mut self, now_ms: u64) {
+        // Members of a gang that end together are one event.
+        if now_ms < self.excluded_until_ms {
+            return;
+        }
+        let length_ms = EXCLUDE_MS << self.strikes.min(4);
+        self.strikes += 1;
+        self.excluded_until_ms = now_ms + length_ms.min(EXCLUDE_MAX_MS);
+    }
+}
+
+/// Progress of a run, to tell one that is stuck.
+#[derive(Clone, Copy, Debug)]
+struct Watch {
+    percent: u8,
+    moved_ms: u64,
+}
+
+/// A worker that may take work, with the room that is left on it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// Name.
+    pub worker: String,
+    /// Incarnation.
+    pub incarnation: u64,
+    /// Pool.
+    pub pool: String,
+    /// Rack.
+    pub rack: String,
+    /// Labels.
+    pub labels: Vec<String>,
+    /// What it has.
+    pub capacity: Demand,
+    /// What is left of it.
+    pub free: Demand,
+    /// Whether it takes new work.
+    pub is_open: bool,
+}
+
+/// What a heartbeat meant.
+#[derive(Debug, Default, PartialEq)]
+pub struct Heard {
+    /// Whether it is older than what is known; then nothing of it counts.
+    pub is_stale: bool,
+    /// Ends to record.
+    pub ends: Vec<End>,
+}
+
+/// All workers.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    sessions: BTreeMap<String, Session>,
+    // Incarnations that left; later heartbeats of them are late ones.
+    left: BTreeMap<String, u64>,
+}
+
+impl Fleet {
+    /// Takes a heartbeat and says what it means for the runs placed on the worker.
+    pub fn hear(&mut self, beat: Beat, table: &Table, lease_ms: u64, now_ms: u64) -> Heard {
+        let known = self.sessions.get(&beat.worker);
+        let is_late = known.is_some_and(|session| {
+            let held = &session.beat;
+            (beat.incarnation, beat.sequence) <= (held.incarnation, held.sequence)
+        });
+        let has_left = self.left.get(&beat.worker).is_some_and(|left| beat.incarnation <= *left);
+        if is_late || has_left {
+            return Heard { is_stale: true, ends: Vec::new() };
+        }
+        let ends = ends_of(&beat, table);
+        let bound_ms = now_ms + lease_bound_ms(lease_ms);
+        let is_same = known.is_some_and(|session| session.beat.incarnation == beat.incarnation);
+        let worker = beat.worker.clone();
+        if !is_same {
+            let session = Session {
+                beat,
+                heard_ms: now_ms,
+                lease_until_ms: bound_ms,
+                orders: Arc::new(Notify::new()),
+                sent: BTreeSet::new(),
+                watched: BTreeMap::new(),
+                health: Health::default(),
+            };
+            self.sessions.insert(worker, session);
+            return Heard { is_stale: false, ends };
+        }
+        let Some(session) = self.sessions.get_mut(&worker) else { return Heard::default() };
+        session.judge(&beat, &ends, table, now_ms);
+        session.beat = beat;
+        session.heard_ms = now_ms;
+        session.lease_until_ms = session.lease_until_ms.max(bound_ms);
+        session.sent.clear();
+        Heard { is_stale: false, ends }
+    }
+
+    /// Forgets a worker that left, and ends its runs.
+    pub fn leave(&mut self, worker: &str, table: &Table) -> Vec<End> {
+        if let Some(session) = self.sessions.remove(worker) {
+            self.left.insert(worker.to_string(), session.beat.incarnation);
+        }
+        table.placed_on(worker).map(|(name, run)| lapsed(*name, run.number, "")).collect()
+    }
+
+    /// A worker as heard.
+    pub fn session(&self, worker: &str) -> Option<&Session> {
+        self.sessions.get(worker)
+    }
+
+    /// Runs whose workers were silent for so long that their leases have ended. Workers that this
+    /// leader never heard count from `unheard_until_ms` on.
+    pub fn lost(&self, table: &Table, unheard_until_ms: u64, now_ms: u64) -> Vec<End> {
+        let mut ends = Vec::new();
+        for worker in table.used_workers() {
+            let session = self.sessions.get(worker);
+            let until_ms = session.map_or(unheard_until_ms, |held| held.lease_until_ms);
+            if now_ms < until_ms.max(if session.is_some() { 0 } else { unheard_until_ms }) {
+                continue;
+            }
+            for (name, run) in table.placed_on(worker) {
+                let saved = session.map_or("", |held| held.checkpoint(name, run.number));
+                ends.push(lapsed(*name, run.number, saved));
+            }
+        }
+        ends
+    }
+
+    /// Runs that make no progress on workers that are heard.
+    pub fn stuck(&self, table: &Table, now_ms: u64) -> Vec<(Name, u32)> {
+        let mut stuck = Vec::new();
+        for session in self.sessions.values() {
+            for ((name, run), watch) in &session.watched {
+                if now_ms < watch.moved_ms + STUCK_MS {
+                    continue;
+                }
+                let held = table.active(name).filter(|held| held.number == *run);
+                if held.is_some_and(|held| !held.is_stopping) {
+                    stuck.push((*name, *run));
+                }
+            }
+        }
+        stuck
+    }
+
+    /// Excludes the worker of a run that is stuck.
+    pub fn strike(&mut self, worker: &str, now_ms: u64) {
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.health.strike(now_ms);
+        }
+    }
+
+    /// Every worker with the room that is left on it, sorted by name.
+    pub fn places(&self, table: &Table, now_ms: u64) -> Vec<Place> {
+        let mut places = Vec::new();
+        for (worker, session) in &self.sessions {
+            let beat = &session.beat;
+            let silent_ms = now_ms.saturating_sub(session.heard_ms);
+            let is_excluded = now_ms < session.health.excluded_until_ms;
+            places.push(Place {
+                worker: worker.clone(),
+                incarnation: beat.incarnation,
+                pool: beat.pool.clone(),
+                rack: beat.rack.clone(),
+                labels: beat.labels.clone(),
+                capacity: beat.capacity,
+                free: session.free(worker, table),
+                is_open: !beat.is_draining && silent_ms < SILENT_MS && !is_excluded,
+            });
+        }
+        places
+    }
+
+    /// Wakes the held heartbeat of a worker.
+    pub fn wake(&self, worker: &str) {
+        if let Some(session) = self.sessions.get(worker) {
+            session.orders.notify_one();
+        }
+    }
+
+    /// Orders for a worker, from the table and its latest heartbeat.
+    pub fn orders(&mut self, worker: &str, table: &Table) -> Orders {
+        let mut orders = Orders::default();
+        let Some(session) = self.sessions.get_mut(worker) else { return orders };
+        let beat = &session.beat;
+        for end in &beat.ended {
+            // An end is acknowledged once the table has it, in the order of the list.
+            if table.is_active(&end.task, end.run) {
+                break;
+            }
+            orders.acknowledged = end.number;
+        }
+        for row in &beat.running {
+            let held = table.active(&row.task).filter(|held| {
+                held.number == row.run
+                    && held.worker == *worker
+                    && held.incarnation == beat.incarnation
+            });
+            if held.is_none_or(|held| held.is_stopping) {
+                orders.stop.push((row.task, row.run));
+            }
+        }
+        if beat.is_draining {
+            return orders;
+        }
+        for (name, run) in table.placed_on(worker) {
+            let is_known = beat.running.iter().any(|row| row.task == *name && row.run == run.number)
+                || beat.ended.iter().any(|end| end.task == *name && end.run == run.number);
+            if is_known || run.is_stopping || run.incarnation != beat.incarnation {
+                continue;
+            }
+            let Some(job) = table.live.get(&name.job) else { continue };
+            let checkpoint = job.task(name).map(|task| task.checkpoint.clone()).unwrap_or_default();
+            let payload = job.spec.payload.clone();
+            orders.start.push(Start { task: *name, run: run.number, payload, checkpoint });
+        }
+        session.sent = orders.start.iter().map(|start| (start.task, start.run)).collect();
+        orders
+    }
+}
+
+impl Session {
+    /// Progress of a run in percent, where the worker has reported it.
+    pub fn percent(&self, name: &Name, run: u32) -> Option<u8> {
+        let row = self.beat.running.iter().find(|row| row.task == *name && row.run == run);
+        row.map(|row| row.percent)
+    }
+
+    /// Whether the worker runs nothing and has nothing left to report.
+    pub fn is_idle(&self) -> bool {
+        self.beat.running.is_empty() && self.beat.ended.is_empty()
+    }
+
+    fn checkpoint(&self, name: &Name, run: u32) -> &str {
+        let row = self.beat.running.iter().find(|row| row.task == *name && row.run == run);
+        row.map_or("", |row| &row.checkpoint)
+    }
+
+    // Judges the worker by what became of its runs since the last heartbeat.
+    fn judge(&mut self, beat: &Beat, ends: &[End], table: &Table, now_ms: u64) {
+        for end in ends {
+            match end.how {
+                How::Failed => self.health.strike(now_ms),
+                How::Done => self.health = Health::default(),
+                _ => {}
+            }
+        }
+        let mut watched = BTreeMap::new();
+        for row in &beat.running {
+            let key = (row.task, row.run);
+            let is_lasting = table.live.get(&row.task.job).is_some_and(|job| {
+                job.spec.steps.get(row.task.step as usize).is_some_and(|step| step.is_lasting)
+            });
+            if is_lasting {
+                continue;
+            }
+            let fresh = Watch { percent: row.percent, moved_ms: now_ms };
+            let held = self.watched.get(&key).copied().unwrap_or(fresh);
+            let kept = if held.percent == row.percent { held } else { fresh };
+            watched.insert(key, kept);
+        }
+        self.watched = watched;
+    }
+
+    // Runs that the table no longer places there still take room until the worker lists their end.
+    fn free(&self, worker: &str, table: &Table) -> Demand {
+        let mut runs: BTreeSet<(Name, u32)> = self.sent.clone();
+        runs.extend(self.beat.running.iter().map(|row| (row.task, row.run)));
+        runs.extend(table.placed_on(worker).map(|(name, run)| (*name, run.number)));
+        let mut free = self.beat.capacity;
+        for (name, _) in runs {
+            let Some(job) = table.job(name.job) else { continue };
+            let Some(step) = job.spec.steps.get(name.step as usize) else { continue };
+            free.take(&step.demand, step.is_filler);
+        }
+        free
+    }
+}
+
+impl Demand {
+    /// Takes a task's share away; processor time of fillers is not counted.
+    pub fn take(&mut self, demand: &Self, is_filler: bool) {
+        if !is_filler {
+            self.cpu_milli = self.cpu_milli.saturating_sub(demand.cpu_milli);
+        }
+        self.memory_mb = self.memory_mb.saturating_sub(demand.memory_mb);
+        self.accelerators = self.accelerators.saturating_sub(demand.accelerators);
+    }
+
+    /// Gives a task's share back.
+    pub fn give(&mut self, demand: &Self, is_filler: bool) {
+        if !is_filler {
+            self.cpu_milli += demand.cpu_milli;
+        }
+        self.memory_mb += demand.memory_mb;
+        self.accelerators += demand.accelerators;
+    }
+
+    /// How many tasks of this demand fit.
+    pub fn fits(&self, demand: &Self, is_filler: bool) -> u64 {
+        let ratio = |have: u64, want: u64| have.checked_div(want).unwrap_or(u64::MAX);
+        let cpu = if is_filler { u64::MAX } else { ratio(self.cpu_milli, demand.cpu_milli) };
+        let memory = ratio(self.memory_mb, demand.memory_mb);
+        let accelerators = ratio(self.accelerators.into(), demand.accelerators.into());
+        cpu.min(memory).min(accelerators)
+    }
+}
+
+fn lapsed(task: Name, run: u32, checkpoint: &str) -> End {
+    End { task, run, how: How::Lapsed, checkpoint: checkpoint.to_string() }
+}
+
+// What the heartbeat says of the runs that the table has on this worker.
+fn ends_of(beat: &Beat, table: &Table) -> Vec<End> {
+    let mut ends = Vec::new();
+    for (name, run) in table.placed_on(&beat.worker) {
+        if run.incarnation > beat.incarnation {
+            continue;
+        }
+        if run.incarnation < beat.incarnation {
+            // The worker started again and holds nothing of before.
+            ends.push(lapsed(*name, run.number, ""));
+            continue;
+        }
+        let is_listed = beat.ended.iter().any(|end| end.task == *name && end.run == run.number);
+        let is_running = beat.running.iter().any(|row| row.task == *name && row.run == run.number);
+        let is_kept = !run.is_stopping && !beat.is_draining;
+        if is_listed || is_running || is_kept {
+            continue;
+        }
+        // Never arrived, and is not told again.
+        ends.push(lapsed(*name, run.number, ""));
+    }
+    for end in &beat.ended {
+        let held = table.active(&end.task).filter(|held| {
+            held.number == end.run
+                && held.worker == beat.worker
+                && held.incarnation == beat.incarnation
+        });
+        if held.is_none() {
+            continue;
+        }
+        let checkpoint = end.checkpoint.clone();
+        ends.push(End { task: end.task, run: end.run, how: end.how, checkpoint });
+    }
+    ends
+}
+
+/// Tasks of a step that wait for a place.
+pub fn waiting(progress: &super::job::Progress) -> impl Iterator<Item = u32> {
+    let tasks = progress.tasks.iter().enumerate();
+    tasks.filter(|(_, task)| task.state == State::Waiting).map(|(index, _)| index as u32)
+}
--- /dev/null
+++ b/src/batch/job.rs
@@ -0,0 +1,332 @@
+//! A job: steps of tasks, once or at given times.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::document::Terms;
+
+/// Result of checking a job.
+pub type Result<T> = super::Result<T>;
+
+/// Most tasks of one job.
+pub const TASKS: u32 = 10_000;
+/// Most steps of one job.
+pub const STEPS: usize = 64;
+/// Longest payload, in bytes.
+pub const PAYLOAD_BYTES: usize = 64 << 10;
+
+/// Identity of a job, chosen by its caller: 16 hexadecimal digits.
+#[derive(
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:016x}")]
+pub struct Id(pub u64);
+
+impl Id {
+    /// Parses the displayed form.
+    pub fn parse(text: &str) -> Option<Self> {
+        let plain = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+        if !plain {
+            return None;
+        }
+        u64::from_str_radix(text, 16).ok().map(Self)
+    }
+}
+
+/// Name of a task.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{job}.{occurrence}.{step}.{index}")]
+pub struct Name {
+    /// Job.
+    pub job: Id,
+    /// Occurrence, from 0.
+    pub occurrence: u32,
+    /// Step, from 0.
+    pub step: u32,
+    /// Task within the step, from 0.
+    pub index: u32,
+}
+
+impl Name {
+    /// Parses the displayed form.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.split('.');
+        let job = Id::parse(parts.next()?)?;
+        let mut number = || parts.next()?.parse().ok();
+        let (occurrence, step, index) = (number()?, number()?, number()?);
+        parts.next().is_none().then_some(Self { job, occurrence, step, index })
+    }
+}
+
+/// What one task takes on its worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Processor time, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory, in MiB.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+/// A step as handed in.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// Tasks.
+    pub count: u32,
+    /// What each task takes.
+    pub demand: Demand,
+    /// Declared run time of a task, in milliseconds; a rough estimate, 0 where none was given.
+    pub estimate_ms: u64,
+    /// Earlier steps that must be done first.
+    pub after: Vec<u32>,
+    /// Whether tasks save their progress.
+    pub is_checkpointing: bool,
+    /// Whether the tasks run only all together.
+    pub is_gang: bool,
+    /// Whether tasks slow down when they run on more than one rack.
+    pub is_rack_local: bool,
+    /// Label that the worker must have; empty where any will do.
+    pub label: String,
+    /// Rack of the data, away from which tasks slow down; empty where there is none.
+    pub data_rack: String,
+    /// Most tasks of the step on one worker; 0 where there is no bound.
+    pub per_worker: u32,
+    /// Whether copies of a task may run at once.
+    pub is_speculative: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub is_lasting: bool,
+    /// What the tasks run; those of one image behave alike.
+    pub image: String,
+    /// Latency that a lasting task must keep for its own users, in milliseconds; 0 for none.
+    pub target_ms: u64,
+    /// Whether the processor time is taken from what others leave unused.
+    pub is_filler: bool,
+    /// Tasks of a lasting step that the scheduler may take away at once.
+    pub may_be_away: u32,
+}
+
+/// When a job with occurrences runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// Occurrences.
+    pub count: u32,
+    /// First due time, in milliseconds since 1970.
+    pub first_ms: u64,
+    /// Between due times, in milliseconds.
+    pub interval_ms: u64,
+}
+
+/// A job as handed in.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Spec {
+    /// Text for the tasks.
+    pub payload: String,
+    /// Steps.
+    pub steps: Vec<Step>,
+    /// When it runs; once and now where absent.
+    pub schedule: Option<Schedule>,
+}
+
+impl Spec {
+    /// Why the job is malformed, if it is.
+    pub fn fault(&self) -> Option<String> {
+        if self.steps.is_empty() || self.steps.len() > STEPS {
+            return Some(format!("a job has 1 to {STEPS} steps"));
+        }
+        if self.payload.len() > PAYLOAD_BYTES {
+            return Some(format!("the payload is longer than {PAYLOAD_BYTES} bytes"));
+        }
+        let mut tasks = 0u32;
+        for (at, step) in self.steps.iter().enumerate() {
+            tasks = tasks.saturating_add(step.count);
+            if step.count == 0 {
+                return Some(format!("step {at} has no tasks"));
+            }
+            if step.after.iter().any(|earlier| *earlier as usize >= at) {
+                return Some(format!("step {at} waits for a step that is not an earlier one"));
+            }
+        }
+        (tasks > TASKS).then(|| format!("a job has at most {TASKS} tasks"))
+    }
+}
+
+/// One run of a task on a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Run {
+    /// Number of the run, from 1; members of a gang share it.
+    pub number: u32,
+    /// Worker.
+    pub worker: String,
+    /// Incarnation of the worker: when it started, in milliseconds since 1970.
+    pub incarnation: u64,
+    /// When it was placed, on the leader's wall clock, in milliseconds.
+    pub placed_ms: u64,
+    /// Whether it is to stop.
+    pub is_stopping: bool,
+}
+
+/// State of a task.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub enum State {
+    /// Waits for a place, or for its step's turn.
+    #[default]
+    Waiting,
+    /// Has a place.
+    Active(Run),
+    /// Is done.
+    Done,
+}
+
+/// A task.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Task {
+    /// State.
+    pub state: State,
+    /// Highest number of its runs.
+    pub runs: u32,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Latest checkpoint; empty where there is none.
+    pub checkpoint: String,
+    /// Worker of the last run that failed.
+    pub failed_on: String,
+}
+
+/// Progress of one step in one occurrence.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that are done.
+    pub done: u32,
+    /// Highest run number of a gang that counted as failed.
+    pub failed_run: u32,
+    /// Failed runs of a gang.
+    pub failures: u32,
+}
+
+impl Progress {
+    /// Whether every task is done.
+    pub fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+}
+
+/// Progress of one occurrence.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Occurrence {
+    /// When it was due, in milliseconds since 1970.
+    pub due_ms: u64,
+    /// Steps, as in the job.
+    pub steps: Vec<Progress>,
+}
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// All tasks are done.
+    Completed,
+    /// A task or gang failed too often.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+/// What callers are told of a job.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Nothing has started yet.
+    #[display("queued")]
+    Queued,
+    /// Something has started.
+    #[display("running")]
+    Running,
+    /// All tasks are done.
+    #[display("completed")]
+    Completed,
+    /// A task or gang failed too often.
+    #[display("failed")]
+    Failed,
+    /// Its caller cancelled it.
+    #[display("cancelled")]
+    Cancelled,
+}
+
+/// A job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// Identity.
+    pub id: Id,
+    /// Queue.
+    pub queue: String,
+    /// Customer.
+    pub customer: String,
+    /// As handed in.
+    pub spec: Spec,
+    /// Terms when it was handed in.
+    pub terms: Terms,
+    /// When it was accepted, in milliseconds since 1970.
+    pub accepted_ms: u64,
+    /// When it ended, in milliseconds since 1970.
+    pub ended_ms: u64,
+    /// How it ended.
+    pub outcome: Option<Outcome>,
+    /// Whether a task was ever placed.
+    pub has_started: bool,
+    /// Occurrences that have begun.
+    pub opened: u32,
+    /// Occurrences that are done.
+    pub finished: u32,
+    /// Occurrences in progress.
+    pub occurrences: BTreeMap<u32, Occurrence>,
+}
+
+impl Job {
+    /// What callers are told.
+    pub fn phase(&self) -> Phase {
+        match self.outcome {
+            Some(Outcome::Completed) => Phase::Completed,
+            Some(Outcome::Failed) => Phase::Failed,
+            Some(Outcome::Cancelled) => Phase::Cancelled,
+            None if self.has_started => Phase::Running,
+            None => Phase::Queued,
+        }
+    }
+
+    /// Occurrences that it has in all.
+    pub fn total(&self) -> u32 {
+        self.spec.schedule.map_or(1, |schedule| schedule.count.max(1))
+    }
+
+    /// When an occurrence is due, in milliseconds since 1970.
+    pub fn due_ms(&self, occurrence: u32) -> u64 {
+        let Some(schedule) = self.spec.schedule else { return self.accepted_ms };
+        schedule.first_ms.saturating_add(schedule.interval_ms.saturating_mul(occurrence.into()))
+    }
+
+    /// Whether a step's turn has come.
+    pub fn is_ready(&self, occurrence: &Occurrence, step: usize) -> bool {
+        self.spec.steps[step].after.iter().all(|at| occurrence.steps[*at as usize].is_done())
+    }
+
+    /// The run of a task that has a place.
+    pub fn run(&self, name: &Name) -> Option<&Run> {
+        let occurrence = self.occurrences.get(&name.occurrence)?;
+        let task = occurrence.steps.get(name.step as usize)?.tasks.get(name.index as usize)?;
+        match &task.state {
+            State::Active(run) => Some(run),
+            _ => None,
+        }
+    }
+
+    /// A task.
+    pub fn task(&self, name: &Name) -> Option<&Task> {
+        let occurrence = self.occurrences.get(&name.occurrence)?;
+        occurrence.steps.get(name.step as usize)?.tasks.get(name.index as usize)
+    }
+}
--- /dev/null
+++ b/src/batch/plan/candidate.rs
@@ -0,0 +1,213 @@
+//! Steps that wait, in the order in which they are served.
+
+use std::collections::BTreeMap;
+
+use super::{Key, View};
+use crate::batch::fleet::waiting;
+use crate::batch::job::{Job, Occurrence, Progress, Step};
+
+/// Multiple of its objective after which a job earns its caller nothing any more.
+const LATEST: u64 = 3;
+/// Time between a decision to evict and a start in the freed room, in milliseconds: a heartbeat of
+/// the victim's worker, its stop, and one more heartbeat.
+const EVICTION_MS: u64 = 900;
+
+/// A step with tasks that wait for a place.
+#[derive(Debug)]
+pub struct Candidate<'a> {
+    /// Its identity.
+    pub key: Key,
+    /// Job.
+    pub job: &'a Job,
+    /// Step.
+    pub step: &'a Step,
+    /// Progress of the step.
+    pub progress: &'a Progress,
+    /// Tasks that wait, by index.
+    pub tasks: Vec<u32>,
+    /// Expected run time near the data, in milliseconds.
+    pub run_ms: u64,
+    /// Latest wall time at which the job completes on time, in milliseconds.
+    pub objective_ms: u64,
+    /// Time that the rest of the job takes at best, in milliseconds.
+    pub rest_ms: u64,
+    /// How long the step has waited, in milliseconds.
+    pub waited_ms: u64,
+    /// Whether the job can no longer complete in time to be of use.
+    pub is_hopeless: bool,
+    /// Whether the job can no longer complete on time.
+    pub is_late: bool,
+    /// Whether its customer's guarantee covers it.
+    pub is_guaranteed: bool,
+}
+
+impl Candidate<'_> {
+    /// Number of the next run of a gang; `None` where each task counts for itself.
+    pub fn next_run(&self) -> Option<u32> {
+        let runs = self.progress.tasks.iter().map(|task| task.runs);
+        self.step.is_gang.then(|| runs.max().unwrap_or(0) + 1)
+    }
+
+    /// What two candidates share that find room at the same time.
+    pub(super) fn shape(&self) -> Shape<'_> {
+        let step = self.step;
+        let demand = &step.demand;
+        Shape {
+            pool: &self.job.terms.pool,
+            demand: (demand.cpu_milli, demand.memory_mb, demand.accelerators),
+            count: if step.is_gang { self.tasks.len() as u64 } else { 1 },
+            label: &step.label,
+            data_rack: &step.data_rack,
+            is_rack_local: step.is_rack_local,
+            bound: if step.per_worker > 0 { Some(self.key) } else { None },
+            may_go_far: self.may_go_far(),
+        }
+    }
+
+    // Steps that are pressed for time take places away from their data.
+    fn may_go_far(&self) -> u8 {
+        u8::from(self.waited_ms > super::seat::PATIENCE_MS) + u8::from(self.is_late)
+    }
+
+    /// Whether waiting any longer would make it late while less urgent work runs.
+    pub fn may_evict(&self, view: &View<'_>) -> bool {
+        if self.job.terms.priority > 0 || self.is_hopeless {
+            return false;
+        }
+        let latest_start_ms = self.objective_ms.saturating_sub(self.rest_ms + EVICTION_MS);
+        let is_pressed = view.wall_ms >= latest_start_ms;
+        let reclaim_ms = view.times.reclaim_ms.saturating_sub(3 * EVICTION_MS);
+        let must_begin = self.is_guaranteed && self.waited_ms >= reclaim_ms;
+        is_pressed || must_begin
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Shape<'a> {
+    pool: &'a str,
+    demand: (u64, u64, u32),
+    count: u64,
+    label: &'a str,
+    data_rack: &'a str,
+    is_rack_local: bool,
+    bound: Option<Key>,
+    may_go_far: u8,
+}
+
+/// All steps that wait for places, most urgent first.
+pub fn candidates<'a>(view: &View<'a>) -> Vec<Candidate<'a>> {
+    let mut found = Vec::new();
+    let claimed = guaranteed_use(view);
+    for job in view.table.live.values() {
+        for (number, occurrence) in &job.occurrences {
+            let rest_ms = rest_ms(view, job, occurrence);
+            for (at, progress) in occurrence.steps.iter().enumerate() {
+                if progress.is_done() || !job.is_ready(occurrence, at) {
+                    continue;
+                }
+                let step = &job.spec.steps[at];
+                let tasks: Vec<u32> = waiting(progress).collect();
+                let is_partial = step.is_gang && tasks.len() < progress.tasks.len();
+                if tasks.is_empty() || is_partial {
+                    continue;
+                }
+                let key = (job.id, *number, at as u32);
+                let mut candidate =
+                    judge(view, job, occurrence, rest_ms, (key, step, progress, tasks));
+                candidate.is_guaranteed = is_covered(view, job, &claimed);
+                found.push(candidate);
+            }
+        }
+    }
+    found.sort_by_key(|candidate| {
+        let work = candidate.run_ms * u64::from(candidate.step.demand.accelerators.max(1));
+        (
+            candidate.is_hopeless,
+            candidate.job.terms.priority,
+            candidate.is_late,
+            candidate.objective_ms.saturating_sub(candidate.rest_ms),
+            work,
+            candidate.key,
+        )
+    });
+    found
+}
+
+fn judge<'a>(
+    view: &View<'a>,
+    job: &'a Job,
+    occurrence: &Occurrence,
+    rest_ms: u64,
+    (key, step, progress, tasks): (Key, &'a Step, &'a Progress, Vec<u32>),
+) -> Candidate<'a> {
+    let begun_ms = occurrence.due_ms;
+    let chain_ms = chain_ms(view, job);
+    let span_ms = (job.terms.stretch * chain_ms as f64) as u64 + job.terms.target_ms;
+    let objective_ms = begun_ms + span_ms;
+    let done_ms = view.wall_ms + rest_ms;
+    Candidate {
+        key,
+        job,
+        step,
+        progress,
+        tasks,
+        run_ms: run_ms(view, job, step),
+        objective_ms,
+        rest_ms,
+        waited_ms: view.wall_ms.saturating_sub(begun_ms),
+        is_hopeless: !step.is_lasting && done_ms > begun_ms + span_ms * LATEST,
+        is_late: !step.is_lasting && done_ms > objective_ms,
+        is_guaranteed: false,
+    }
+}
+
+/// Expected run time of a step's tasks, in milliseconds.
+pub fn run_ms(view: &View<'_>, job: &Job, step: &Step) -> u64 {
+    view.estimates.run_ms(&job.queue, step.estimate_ms)
+}
+
+/// Time that the longest chain of steps takes, in milliseconds.
+fn chain_ms(view: &View<'_>, job: &Job) -> u64 {
+    longest(job, |at| run_ms(view, job, &job.spec.steps[at]))
+}
+
+fn rest_ms(view: &View<'_>, job: &Job, occurrence: &Occurrence) -> u64 {
+    longest(job, |at| {
+        if occurrence.steps[at].is_done() {
+            return 0;
+        }
+        run_ms(view, job, &job.spec.steps[at])
+    })
+}
+
+fn longest(job: &Job, length_of: impl Fn(usize) -> u64) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
+    for (at, step) in job.spec.steps.iter().enumerate() {
+        let begin = step.after.iter().map(|earlier| ends[*earlier as usize]).max().unwrap_or(0);
+        ends.push(begin + length_of(at));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
+
+// Accelerators that each customer's jobs of priority 0 need in all.
+fn guaranteed_use<'a>(view: &View<'a>) -> BTreeMap<&'a str, u64> {
+    let mut claimed = BTreeMap::new();
+    for job in view.table.live.values() {
+        if job.terms.priority > 0 {
+            continue;
+        }
+        let needs = |step: &Step| u64::from(step.count) * u64::from(step.demand.accelerators);
+        let all: u64 = job.spec.steps.iter().map(needs).sum();
+        *claimed.entry(job.customer.as_str()).or_default() += all;
+    }
+    claimed
+}
+
+fn is_covered(view: &View<'_>, job: &Job, claimed: &BTreeMap<&str, u64>) -> bool {
+    if job.terms.priority > 0 {
+        return false;
+    }
+    let Some(customer) = view.table.document.customer(&job.customer) else { return false };
+    claimed.get(job.customer.as_str()).is_some_and(|all| *all <= customer.guaranteed.into())
+}
+
--- /dev/null
+++ b/src/batch/plan/evict.rs
@@ -0,0 +1,193 @@
+//! Which runs stop so that an urgent step can start.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::seat::{active_runs, has_label, held_by, is_unlucky};
+use super::{Board, Candidate, View};
+use crate::batch::job::{Demand, Name};
+
+/// Weight of an accelerator against a core in the cost of lost work.
+const ACCELERATOR_CORES: u64 = 8;
+/// Cost of a stop beside the lost work, in core-milliseconds: what starts again waits again.
+const STOP_COST: u64 = 20_000;
+
+/// Runs to stop, and the seats that they free together with what is free already.
+#[derive(Debug)]
+pub(super) struct Found {
+    pub(super) victims: Vec<(Name, u32)>,
+    pub(super) seats: BTreeMap<String, u64>,
+}
+
+/// A run that may be stopped; a gang stops as a whole.
+#[derive(Clone, Debug)]
+struct Victim {
+    runs: Vec<(Name, u32)>,
+    priority: u32,
+    // Work that is lost, in core-milliseconds.
+    cost: u64,
+}
+
+/// Searches for evictions within one decision.
+pub(super) struct Evictor<'a> {
+    view: View<'a>,
+    victims: Option<Index>,
+    stopped: BTreeSet<usize>,
+}
+
+#[derive(Debug, Default)]
+struct Index {
+    victims: Vec<Victim>,
+    // By worker: victim and what its runs there free.
+    held: BTreeMap<String, Vec<(usize, Demand, bool)>>,
+}
+
+struct Slot {
+    place: usize,
+    cost: u64,
+    victims: Vec<usize>,
+}
+
+impl<'a> Evictor<'a> {
+    pub(super) fn new(view: View<'a>) -> Self {
+        Self { view, victims: None, stopped: BTreeSet::new() }
+    }
+
+    /// The cheapest runs whose stop makes room for the whole step.
+    pub(super) fn find(&mut self, board: &Board<'_>, candidate: &Candidate<'_>) -> Option<Found> {
+        let view = self.view;
+        let index = self.victims.get_or_insert_with(|| Index::new(&view));
+        let mut best: Option<(u64, Vec<Slot>)> = None;
+        let step = candidate.step;
+        let groups = groups(board, candidate);
+        for members in groups {
+            let mut slots = Vec::new();
+            for at in members {
+                slots.extend(slots_on(board, candidate, at, index, &self.stopped));
+            }
+            let wanted = candidate.tasks.len();
+            if slots.len() < wanted {
+                continue;
+            }
+            slots.sort_by_key(|slot| slot.cost);
+            slots.truncate(wanted);
+            let cost = slots.iter().map(|slot| slot.cost).sum();
+            if best.as_ref().is_none_or(|(held, _)| cost < *held) {
+                best = Some((cost, slots));
+            }
+        }
+        let (_, slots) = best?;
+        let mut seats = BTreeMap::new();
+        let mut victims = BTreeSet::new();
+        for slot in slots {
+            *seats.entry(board.places[slot.place].worker.clone()).or_insert(0) += 1;
+            victims.extend(slot.victims);
+        }
+        if victims.is_empty() && step.is_gang {
+            return None;
+        }
+        self.stopped.extend(victims.iter().copied());
+        let runs = victims.iter().flat_map(|at| index.victims[*at].runs.clone());
+        Some(Found { victims: runs.collect(), seats })
+    }
+}
+
+// Racks that may hold the step together, each a group of places.
+fn groups(board: &Board<'_>, candidate: &Candidate<'_>) -> Vec<Vec<usize>> {
+    let step = candidate.step;
+    let of_pool = board.racks.iter().filter(|(key, _)| key.0 == candidate.job.terms.pool);
+    if !step.data_rack.is_empty() {
+        let near = of_pool.filter(|(key, _)| key.1 == step.data_rack);
+        return near.map(|(_, members)| members.clone()).collect();
+    }
+    if step.is_rack_local {
+        return of_pool.map(|(_, members)| members.clone()).collect();
+    }
+    vec![of_pool.flat_map(|(_, members)| members.clone()).collect()]
+}
+
+// Seats on one place, each with what must stop for it, cheapest first.
+fn slots_on(
+    board: &Board<'_>,
+    candidate: &Candidate<'_>,
+    at: usize,
+    index: &Index,
+    stopped: &BTreeSet<usize>,
+) -> Vec<Slot> {
+    let step = candidate.step;
+    let place = &board.places[at];
+    if !has_label(place, &step.label) || is_unlucky(candidate, place) {
+        return Vec::new();
+    }
+    let mut bound = candidate.tasks.len() as u64;
+    if step.per_worker > 0 {
+        let left = u64::from(step.per_worker).saturating_sub(held_by(candidate, &place.worker));
+        bound = bound.min(left);
+    }
+    let mut free = place.free;
+    let mut slots = Vec::new();
+    let mut pending: Vec<usize> = Vec::new();
+    let mut cost = 0;
+    let held = index.held.get(&place.worker).map_or(&[][..], Vec::as_slice);
+    let mut rest = held.iter().filter(|(victim, _, _)| {
+        index.victims[*victim].priority > candidate.job.terms.priority && !stopped.contains(victim)
+    });
+    while (slots.len() as u64) < bound {
+        if free.fits(&step.demand, step.is_filler) > 0 {
+            free.take(&step.demand, step.is_filler);
+            slots.push(Slot { place: at, cost, victims: std::mem::take(&mut pending) });
+            cost = 0;
+            continue;
+        }
+        let Some((victim, demand, is_filler)) = rest.next() else { break };
+        free.give(demand, *is_filler);
+        cost += index.victims[*victim].cost;
+        pending.push(*victim);
+    }
+    // A later seat rests on the victims of the earlier ones.
+    let mut so_far = Vec::new();
+    for slot in &mut slots {
+        so_far.append(&mut slot.victims);
+        slot.victims.clone_from(&so_far);
+    }
+    slots
+}
+
+impl Index {
+    fn new(view: &View<'_>) -> Self {
+        let mut index = Self::default();
+        for job in view.table.live.values() {
+            let mut gangs: BTreeMap<(u32, u32), usize> = BTreeMap::new();
+            for (name, run) in active_runs(job) {
+                let step = &job.spec.steps[name.step as usize];
+                if run.is_stopping || step.is_lasting {
+                    continue;
+                }
+                let ran_ms = view.wall_ms.saturating_sub(run.placed_ms);
+                let kept_ms = view.times.checkpoint_ms + view.times.restore_ms;
+                let lost_ms = if step.is_checkpointing { ran_ms.min(kept_ms) } else { ran_ms };
+                let cores = step.demand.cpu_milli / 1_000
+                    + u64::from(step.demand.accelerators) * ACCELERATOR_CORES;
+                let cost = lost_ms * cores + STOP_COST;
+                let fresh = index.victims.len();
+                let at = if step.is_gang {
+                    *gangs.entry((name.occurrence, name.step)).or_insert(fresh)
+                } else {
+                    fresh
+                };
+                if at == fresh {
+                    let priority = job.terms.priority;
+                    index.victims.push(Victim { runs: Vec::new(), priority, cost: 0 });
+                }
+                let victim = &mut index.victims[at];
+                victim.runs.push((name, run.number));
+                victim.cost += cost;
+                let held = index.held.entry(run.worker.clone()).or_default();
+                held.push((at, step.demand, step.is_filler));
+            }
+        }
+        for held in index.held.values_mut() {
+            held.sort_by_key(|(at, _, _)| index.victims[*at].cost);
+        }
+        index
+    }
+}
--- /dev/null
+++ b/src/batch/plan/seat.rs
@@ -0,0 +1,230 @@
+//! Seats for the tasks of one step.
+
+use std::collections::BTreeMap;
+
+use super::{Board, Candidate};
+use crate::batch::fleet::Place;
+use crate::batch::job::{Job, Name, State};
+
+/// Wait for room near the data before a step goes elsewhere, in milliseconds: about one end of a
+/// run on a busy rack.
+pub(super) const PATIENCE_MS: u64 = 1_200;
+/// Use of a pool below which a step that waited goes away from its data.
+const IDLE: f64 = 0.5;
+/// Use of a pool below which a step goes away from its data where it still ends on time.
+const ROOMY: f64 = 0.8;
+
+/// Seats that were found.
+#[derive(Debug, Default)]
+pub(super) struct Seats {
+    /// Places on the board, and tasks for each.
+    pub(super) places: Vec<(usize, u64)>,
+    /// Why there.
+    pub(super) reason: &'static str,
+}
+
+impl Seats {
+    pub(super) fn count(&self) -> usize {
+        self.places.iter().map(|(_, count)| *count as usize).sum()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+}
+
+/// Seats for the tasks that wait: all of them for a gang, as many as there are otherwise.
+pub(super) fn find(board: &Board<'_>, candidate: &Candidate<'_>) -> Seats {
+    let step = candidate.step;
+    let pool = &candidate.job.terms.pool;
+    if !step.data_rack.is_empty() {
+        let near = rack(board, candidate, &step.data_rack);
+        let places = fill(candidate, near);
+        if !places.is_empty() {
+            return Seats { places, reason: "near its data" };
+        }
+        // A rack that has no worker at all won't get room by waiting.
+        let exists = board.places.iter().any(|place| place.pool == *pool && place.rack == step.data_rack);
+        if exists && !may_go_far(board, candidate) {
+            return Seats::default();
+        }
+    }
+    if step.is_rack_local {
+        let places = best_rack(board, candidate);
+        if !places.is_empty() {
+            return Seats { places, reason: "in one rack" };
+        }
+        if could_fit_one_rack(board, candidate) && !may_go_far(board, candidate) {
+            return Seats::default();
+        }
+    }
+    let mut all = Vec::new();
+    for (key, members) in &board.racks {
+        if key.0 != *pool {
+            continue;
+        }
+        all.extend(slots(board, candidate, members));
+    }
+    Seats { places: fill(candidate, all), reason: "where there is room" }
+}
+
+/// Workers on which room for a gang is held back from less urgent work: those of the rack that
+/// comes nearest to holding it.
+pub(super) fn reserve(board: &Board<'_>, candidate: &Candidate<'_>) -> Option<BTreeMap<String, u64>> {
+    let mut best: Option<Vec<(usize, u64)>> = None;
+    for (key, members) in &board.racks {
+        let is_near = candidate.step.data_rack.is_empty() || key.1 == candidate.step.data_rack;
+        if key.0 != candidate.job.terms.pool || !is_near {
+            continue;
+        }
+        let found = slots(board, candidate, members);
+        let total = |slots: &Vec<(usize, u64)>| slots.iter().map(|(_, count)| *count).sum::<u64>();
+        if best.as_ref().is_none_or(|held| total(&found) > total(held)) {
+            best = Some(found);
+        }
+    }
+    let held = best?;
+    let named = held.into_iter().map(|(at, count)| (board.places[at].worker.clone(), count));
+    Some(named.collect())
+}
+
+fn may_go_far(board: &Board<'_>, candidate: &Candidate<'_>) -> bool {
+    let used = board.used(&candidate.job.terms.pool);
+    if candidate.waited_ms > PATIENCE_MS && used < IDLE {
+        return true;
+    }
+    let factor = board.view.times.remote_factor;
+    let extra_ms = candidate.run_ms * factor.saturating_sub(1);
+    let done_ms = board.view.wall_ms + candidate.rest_ms + extra_ms;
+    used < ROOMY && done_ms <= candidate.objective_ms
+}
+
+fn rack(board: &Board<'_>, candidate: &Candidate<'_>, name: &str) -> Vec<(usize, u64)> {
+    let key = (candidate.job.terms.pool.clone(), name.to_string());
+    let Some(members) = board.racks.get(&key) else { return Vec::new() };
+    slots(board, candidate, members)
+}
+
+// The rack with the least room that holds the whole step, so that larger ones stay whole.
+fn best_rack(board: &Board<'_>, candidate: &Candidate<'_>) -> Vec<(usize, u64)> {
+    let mut best: Option<(u64, Vec<(usize, u64)>)> = None;
+    for (key, members) in &board.racks {
+        if key.0 != candidate.job.terms.pool {
+            continue;
+        }
+        let found = slots(board, candidate, members);
+        let total = found.iter().map(|(_, count)| *count).sum::<u64>();
+        if total < candidate.progress.tasks.len() as u64 {
+            continue;
+        }
+        if best.as_ref().is_none_or(|(held, _)| total < *held) {
+            best = Some((total, found));
+        }
+    }
+    best.map(|(_, found)| fill(candidate, found)).unwrap_or_default()
+}
+
+// Whether some rack of the pool could hold the whole step if it were empty.
+fn could_fit_one_rack(board: &Board<'_>, candidate: &Candidate<'_>) -> bool {
+    let step = candidate.step;
+    for (key, members) in &board.racks {
+        if key.0 != candidate.job.terms.pool {
+            continue;
+        }
+        let mut total = 0u64;
+        for at in members {
+            let place = &board.places[*at];
+            if !has_label(place, &step.label) {
+                continue;
+            }
+            let fits = place.capacity.fits(&step.demand, step.is_filler);
+            let fits = if step.per_worker > 0 { fits.min(step.per_worker.into()) } else { fits };
+            total = total.saturating_add(fits);
+        }
+        if total >= u64::from(step.count) {
+            return true;
+        }
+    }
+    false
+}
+
+// How many tasks fit on each of these places now.
+fn slots(board: &Board<'_>, candidate: &Candidate<'_>, members: &[usize]) -> Vec<(usize, u64)> {
+    let step = candidate.step;
+    let mut found = Vec::new();
+    for at in members {
+        let place = &board.places[*at];
+        if !has_label(place, &step.label) || is_unlucky(candidate, place) {
+            continue;
+        }
+        let mut fits = place.free.fits(&step.demand, step.is_filler);
+        if step.per_worker > 0 {
+            let bound = u64::from(step.per_worker);
+            fits = fits.min(bound.saturating_sub(held_by(candidate, &place.worker)));
+        }
+        if fits > 0 {
+            found.push((*at, fits));
+        }
+    }
+    // The fullest worker that still fits comes first, so that others stay whole.
+    found.sort_by_key(|(at, fits)| {
+        let place = &board.places[*at];
+        (place.free.accelerators, *fits, place.worker.clone())
+    });
+    found
+}
+
+pub(super) fn has_label(place: &Place, label: &str) -> bool {
+    label.is_empty() || place.labels.iter().any(|held| held == label)
+}
+
+// A task that failed there goes elsewhere while it has attempts to lose.
+pub(super) fn is_unlucky(candidate: &Candidate<'_>, place: &Place) -> bool {
+    let tasks = &candidate.progress.tasks;
+    let failed = |index: &u32| tasks[*index as usize].failed_on == place.worker;
+    candidate.tasks.iter().any(failed)
+}
+
+// Tasks of the step that have a place on a worker.
+pub(super) fn held_by(candidate: &Candidate<'_>, worker: &str) -> u64 {
+    let tasks = &candidate.progress.tasks;
+    let on = |state: &State| matches!(state, State::Active(run) if run.worker == worker);
+    tasks.iter().filter(|task| on(&task.state)).count() as u64
+}
+
+// Spreads the tasks over slots in their order; nothing where a gang does not fit whole.
+fn fill(candidate: &Candidate<'_>, slots: Vec<(usize, u64)>) -> Vec<(usize, u64)> {
+    let mut left = candidate.tasks.len() as u64;
+    let total = slots.iter().map(|(_, count)| *count).fold(0, u64::saturating_add);
+    if candidate.step.is_gang && total < left {
+        return Vec::new();
+    }
+    let mut places = Vec::new();
+    for (at, count) in slots {
+        let count = count.min(left);
+        if count == 0 {
+            break;
+        }
+        places.push((at, count));
+        left -= count;
+    }
+    places
+}
+
+/// All runs that have a place, with their jobs.
+pub(super) fn active_runs(job: &Job) -> impl Iterator<Item = (Name, &crate::batch::job::Run)> {
+    job.occurrences.iter().flat_map(move |(number, occurrence)| {
+        occurrence.steps.iter().enumerate().flat_map(move |(step, progress)| {
+            progress.tasks.iter().enumerate().filter_map(move |(index, task)| {
+                let State::Active(run) = &task.state else { return None };
+                let name = Name {
+                    job: job.id,
+                    occurrence: *number,
+                    step: step as u32,
+                    index: index as u32,
+                };
+                Some((name, run))
+            })
+        })
+    })
+}
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::Control;
+use crate::batch::call as batch;
 use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Rank, Table};
 use crate::kernel::timer::Timer;
@@ -33,12 +34,12 @@
     /// A client for the daemon of these settings.
     pub fn new(settings: &Settings, timer: Timer, mesh: Mesh, local: Option<Arc<Control>>) -> Self {
         let mut members: Vec<String> = Vec::new();
-        for peer in &settings.peers {
+        for peer in settings.peers.iter().filter(|_| !settings.batch.is_on) {
             if peer.is_control {
                 members.push(peer.name.clone());
             }
         }
-        if local.is_some() {
+        if local.is_some() && !settings.batch.is_on {
             members.push(settings.name.clone());
         }
         let hint = Arc::new(Table::new(Rank::Leader, None));
@@ -56,6 +57,38 @@
         }
     }
 
+    /// Name of the daemon that was last found to lead.
+    pub fn leader(&self) -> Option<String> {
+        let own = self.local.as_ref().and_then(|local| local.leader());
+        own.or_else(|| self.hint())
+    }
+
+    /// As [`Client::call`], for batch work.
+    ///
+    /// # Errors
+    /// As for [`Client::call`].
+    pub async fn batch(&self, request: batch::Request, within: Duration) -> Result<batch::Answer> {
+        match self.call(Call::Batch(Box::new(request)), within).await? {
+            Answer::Batch(answer) => Ok(*answer),
+            other => Err(Error::unexpected(&other)),
+        }
+    }
+
+    /// Takes news of who leads.
+    pub fn hear_leader(&self, leader: Option<String>) {
+        if leader.is_some() {
+            self.set_hint(leader);
+        }
+    }
+
+    /// Asks one daemon once.
+    ///
+    /// # Errors
+    /// As for [`Mesh::call`].
+    pub async fn ask(&self, daemon: &str, request: batch::Request, within: Duration) -> Result<Answer> {
+        self.call_one(daemon, Call::Batch(Box::new(request)), within).await
+    }
+
     /// Calls the leader, wherever it is, until the deadline.
     ///
     /// # Errors
@@ -104,8 +137,14 @@
         if let Some(hint) = self.hint() {
             return hint;
         }
-        let count = self.members.len().max(1);
-        self.members.get(turn % count).cloned().unwrap_or_default()
+        // Where the settings name no members, those that are linked are asked.
+        let mut members = self.members.clone();
+        if members.is_empty() {
+            members = self.mesh.control_peers();
+            members.extend(self.local.is_some().then(|| self.own.clone()));
+        }
+        let count = members.len().max(1);
+        members.get(turn % count).cloned().unwrap_or_default()
     }
 
     async fn call_one(&self, target: &str, call: Call, within: Duration) -> Result<Answer> {
@@ -134,11 +173,14 @@
 fn patience(call: &Call) -> Duration {
     const MARGIN: Duration = Duration::from_millis(500);
     const MEMBERSHIP: Duration = Duration::from_secs(15);
+    // A worker drops an answer after a second, and a caller's deadline holds a second try.
+    const BATCH: Duration = Duration::from_millis(900);
     match call {
         Call::AwaitInForce { within_ms, .. } | Call::AwaitClaim { within_ms, .. } => {
             Duration::from_millis(*within_ms) + MARGIN
         }
         Call::AddMember { .. } | Call::Change(_) => MEMBERSHIP,
+        Call::Batch(_) => BATCH,
         _ => ATTEMPT,
     }
 }
--- /dev/null
+++ b/src/control/dispatch.rs
@@ -0,0 +1,496 @@
+//! The leader's part in batch work: hand-ins, heartbeats of workers, and rounds of placement.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{Notify, watch};
+
+use super::{COMMIT, Control};
+use crate::batch::call::{Answer, Request, Target};
+use crate::batch::document::{Document, Queue};
+use crate::batch::estimate::Estimates;
+use crate::batch::fleet::{Fleet, lease_bound_ms};
+use crate::batch::job::{Id, Spec};
+use crate::batch::plan::{Plan, Planner, Times, View};
+use crate::batch::table::{Command as Batch, End, Round, Submission, Table as Jobs};
+use crate::batch::worker::{Beat, How, Orders};
+use crate::error::{Code, Error, Result};
+use crate::kernel::lock::{Rank, Table};
+use crate::kernel::timer::wall_ms;
+use crate::replica::member::{self, Id as MemberId};
+use crate::settings::Settings;
+use crate::state::Command;
+use crate::telemetry::{DECISION, Metrics};
+
+/// Longest time between two rounds, in milliseconds; news begin one at once.
+const ROUND_MS: u64 = 200;
+/// Longest wait of a heartbeat for the round that stores its ends: a worker drops an answer that
+/// comes later than a second after it sent the heartbeat.
+const STORE_MS: u64 = 700;
+/// Longest wait of an idle worker's heartbeat for orders, bounded in the same way.
+const HOLD_MS: u64 = 600;
+/// Wait of a busy worker before its next heartbeat, in milliseconds; an end begins one at once.
+const BUSY_NEXT_MS: u64 = 300;
+/// Wait of an idle worker, in milliseconds; its heartbeats are held instead.
+const IDLE_NEXT_MS: u64 = 20;
+/// Silence of a voter after which a caught-up learner takes its place, in milliseconds: longer
+/// than a restart, shorter than the time after which the next loss must be borne.
+const REPLACE_MS: u64 = 2_500;
+/// Silence of a learner after which it is dropped, in milliseconds.
+const DROP_MS: u64 = 10_000;
+
+/// Soft state of a leader.
+pub(super) struct Dispatch {
+    desk: Table<Desk>,
+    changed: Notify,
+    rounds: watch::Sender<u64>,
+    times: Times,
+    lease_ms: u64,
+    losses: usize,
+}
+
+#[derive(Default)]
+struct Desk {
+    term: u64,
+    fleet: Fleet,
+    planner: Planner,
+    estimates: Estimates,
+    // Ends that the next round stores.
+    ends: Vec<End>,
+}
+
+impl Dispatch {
+    pub(super) fn new(settings: &Settings) -> Self {
+        Self {
+            desk: Table::new(Rank::Desk, Desk::default()),
+            changed: Notify::new(),
+            rounds: watch::Sender::new(0),
+            times: settings.batch.times,
+            lease_ms: settings.times.worker_lease_ms,
+            losses: settings.batch.losses,
+        }
+    }
+}
+
+/// Answers a request at the leader.
+pub(super) async fn answer(control: &Control, request: Request) -> Result<Answer> {
+    match request {
+        Request::Submit { target, spec } => submit(control, &target, spec).await,
+        Request::Status(target) => status(control, &target).await,
+        Request::Cancel(target) => cancel(control, &target).await,
+        Request::Beat(beat) => beat_of(control, *beat).await,
+        Request::Leave { worker } => leave(control, &worker).await,
+        Request::Publish(document) => publish(control, document).await,
+        Request::Document => document(control).await,
+        Request::Standing => Ok(standing(control)),
+        Request::Join { name, id } => join(control, &name, id).await,
+    }
+}
+
+/// Who leads and who the members are, as this member knows.
+pub(super) fn standing(control: &Control) -> Answer {
+    let standing = control.standing();
+    let members = standing.members.iter().map(|member| member.name.clone()).collect();
+    Answer::Standing { leader: standing.leader_name, members }
+}
+
+async fn submit(
+    control: &Control,
+    target: &Target,
+    spec: std::result::Result<Spec, String>,
+) -> Result<Answer> {
+    control.group.read().await?;
+    let submission = {
+        let machine = control.machine.lock();
+        let (queue, rest, customer) = authorize(&machine.batch.document, target)?;
+        let id = job_id(rest)?;
+        if let Some(job) = machine.batch.job(id) {
+            return Ok(Answer::Phase(job.phase()));
+        }
+        let spec = spec.map_err(|message| Error::not_run(Code::BadRequest, message))?;
+        if let Some(fault) = spec.fault() {
+            return Err(Error::not_run(Code::BadRequest, fault));
+        }
+        Submission {
+            id,
+            queue: queue.name.clone(),
+            customer,
+            terms: queue.terms.clone(),
+            spec,
+        }
+    };
+    let (id, queue) = (submission.id, submission.queue.clone());
+    let steps = submission.spec.steps.len();
+    propose(control, Batch::Submit(Box::new(submission))).await?;
+    tracing::info!(target: DECISION, job = %id, queue, steps, "job accepted");
+    control.dispatch.changed.notify_one();
+    Ok(Answer::Phase(crate::batch::job::Phase::Queued))
+}
+
+async fn status(control: &Control, target: &Target) -> Result<Answer> {
+    control.group.read().await?;
+    let machine = control.machine.lock();
+    let (queue, rest, _) = authorize(&machine.batch.document, target)?;
+    if rest.is_empty() {
+        return Ok(Answer::Pending(machine.batch.pending(&queue.name)));
+    }
+    let Some(job) = job_id(rest).ok().and_then(|id| machine.batch.job(id)) else {
+        return Err(Error::not_run(Code::KeyExpired, "no such job"));
+    };
+    Ok(Answer::Phase(job.phase()))
+}
+
+async fn cancel(control: &Control, target: &Target) -> Result<Answer> {
+    control.group.read().await?;
+    let id = {
+        let machine = control.machine.lock();
+        let (_, rest, _) = authorize(&machine.batch.document, target)?;
+        let id = job_id(rest)?;
+        if machine.batch.job(id).is_none() {
+            return Err(Error::not_run(Code::KeyExpired, "no such job"));
+        }
+        id
+    };
+    propose(control, Batch::Cancel(id)).await?;
+    tracing::info!(target: DECISION, job = %id, "job cancelled");
+    control.dispatch.changed.notify_one();
+    Ok(Answer::Done)
+}
+
+async fn publish(control: &Control, document: Box<Document>) -> Result<Answer> {
+    let faults = document.faults();
+    if !faults.is_empty() {
+        let all: Vec<String> = faults.iter().map(|f| format!("{}: {}", f.path, f.message)).collect();
+        return Err(Error::not_run(Code::Unsatisfiable, all.join("; ")));
+    }
+    control.group.read().await?;
+    let revision = document.revision;
+    let held = control.machine.lock().batch.document.revision;
+    if revision > held {
+        propose(control, Batch::Publish(document)).await?;
+    }
+    tracing::info!(target: DECISION, revision, held, "document taken");
+    control.dispatch.changed.notify_one();
+    Ok(Answer::Done)
+}
+
+async fn document(control: &Control) -> Result<Answer> {
+    control.group.read().await?;
+    let machine = control.machine.lock();
+    let document = &machine.batch.document;
+    if document.revision == 0 {
+        return Err(Error::not_run(Code::NoLease, "no document yet"));
+    }
+    Ok(Answer::Document { revision: document.revision, source: document.source.clone() })
+}
+
+async fn beat_of(control: &Control, beat: Beat) -> Result<Answer> {
+    control.group.read().await?;
+    let dispatch = &control.dispatch;
+    let now_ms = control.timer.now_ms();
+    let worker = beat.worker.clone();
+    let (heard, has_orders, is_idle, wake) = {
+        let machine = control.machine.lock();
+        let mut desk = dispatch.desk.lock();
+        desk.renew(control);
+        let heard = desk.fleet.hear(beat, &machine.batch, dispatch.lease_ms, now_ms);
+        if heard.is_stale {
+            tracing::debug!(target: DECISION, worker, "late heartbeat dropped");
+            return Ok(Answer::Orders(Box::default()));
+        }
+        desk.learn(&machine.batch, &heard.ends);
+        desk.ends.extend(heard.ends.iter().cloned());
+        let orders = desk.fleet.orders(&worker, &machine.batch);
+        let has_orders = !orders.start.is_empty() || !orders.stop.is_empty();
+        let session = desk.fleet.session(&worker);
+        let is_idle = session.is_some_and(|held| held.is_idle() && !held.beat.is_draining);
+        (heard, has_orders, is_idle, session.map(|held| held.orders.clone()))
+    };
+    if !heard.ends.is_empty() {
+        await_round(control).await;
+    } else if !has_orders && is_idle {
+        // Room has come up, or is still there: the round that takes it wakes this heartbeat.
+        if let Some(wake) = wake {
+            let _ = tokio::time::timeout(Duration::from_millis(HOLD_MS), wake.notified()).await;
+        }
+    }
+    control.group.read().await?;
+    let machine = control.machine.lock();
+    let mut desk = dispatch.desk.lock();
+    let mut orders = desk.fleet.orders(&worker, &machine.batch);
+    orders.lease_ms = Some(dispatch.lease_ms);
+    orders.term = control.standing().term;
+    orders.next_ms = if is_idle && orders.start.is_empty() { IDLE_NEXT_MS } else { BUSY_NEXT_MS };
+    orders.leader = control.settings.name.clone();
+    log_orders(&worker, &orders);
+    Ok(Answer::Orders(Box::new(orders)))
+}
+
+fn log_orders(worker: &str, orders: &Orders) {
+    for start in &orders.start {
+        let (task, run) = (start.task, start.run);
+        tracing::info!(target: DECISION, %task, run, worker, term = orders.term, "start told");
+    }
+    for (task, run) in &orders.stop {
+        tracing::info!(target: DECISION, %task, run, worker, term = orders.term, "stop told");
+    }
+}
+
+// Waits until a round that began after now has been committed.
+async fn await_round(control: &Control) {
+    let mut rounds = control.dispatch.rounds.subscribe();
+    let seen = *rounds.borrow_and_update();
+    control.dispatch.changed.notify_one();
+    // A round that is under way may have missed the news: the one after it has them.
+    let done = rounds.wait_for(|number| *number >= seen + 1);
+    let _ = tokio::time::timeout(Duration::from_millis(STORE_MS), done).await;
+}
+
+async fn leave(control: &Control, worker: &str) -> Result<Answer> {
+    control.group.read().await?;
+    let count = {
+        let machine = control.machine.lock();
+        let mut desk = control.dispatch.desk.lock();
+        desk.renew(control);
+        let ends = desk.fleet.leave(worker, &machine.batch);
+        let count = ends.len();
+        desk.ends.extend(ends);
+        count
+    };
+    tracing::info!(target: DECISION, worker, runs = count, "worker left");
+    control.dispatch.changed.notify_one();
+    Ok(Answer::Done)
+}
+
+fn authorize<'a, 'b>(
+    document: &'a Document,
+    target: &'b Target,
+) -> Result<(&'a Queue, &'b str, String)> {
+    if document.revision == 0 {
+        return Err(Error::not_run(Code::NoLease, "no document yet"));
+    }
+    let Some((queue, rest)) = document.queue_at(&target.host, &target.path) else {
+        return Err(Error::not_run(Code::NotFound, "no such queue"));
+    };
+    let customer = target.key.as_deref().and_then(|key| document.customer_of(key));
+    match customer {
+        Some(customer) => Ok((queue, rest, customer.name.clone())),
+        None if queue.is_open => Ok((queue, rest, String::new())),
+        None => Err(Error::not_run(Code::Unauthorized, "no known key")),
+    }
+}
+
+fn job_id(rest: &str) -> Result<Id> {
+    let id = Id::parse(rest);
+    id.ok_or_else(|| Error::not_run(Code::BadRequest, "a job's name has 16 hexadecimal digits"))
+}
+
+async fn propose(control: &Control, command: Batch) -> Result<()> {
+    control.group.propose(Command::Batch(command), COMMIT).await?;
+    Ok(())
+}
+
+impl Desk {
+    // What an earlier term's leader heard is too old to decide by.
+    fn renew(&mut self, control: &Control) {
+        let term = control.standing().term;
+        if self.term != term {
+            *self = Self { term, estimates: std::mem::take(&mut self.estimates), ..Self::default() };
+        }
+    }
+
+    fn learn(&mut self, table: &Jobs, ends: &[End]) {
+        for end in ends {
+            if end.how != How::Done {
+                continue;
+            }
+            let Some(job) = table.live.get(&end.task.job) else { continue };
+            let Some(task) = job.task(&end.task) else { continue };
+            let Some(run) = job.run(&end.task) else { continue };
+            if task.checkpoint.is_empty() {
+                let took_ms = wall_ms().saturating_sub(run.placed_ms);
+                self.estimates.learn(&job.queue, took_ms);
+            }
+        }
+    }
+}
+
+/// Runs rounds for ever; does something only while this member leads.
+pub(super) async fn run(control: Arc<Control>) {
+    loop {
+        tokio::select! {
+            () = control.dispatch.changed.notified() => {}
+            () = control.timer.sleep(Duration::from_millis(ROUND_MS)) => {}
+        }
+        if !control.standing().leads || control.group.read().await.is_err() {
+            continue;
+        }
+        if let Err(error) = round(&control).await {
+            tracing::warn!(%error, "round not committed; workers report their ends again");
+        }
+    }
+}
+
+async fn round(control: &Control) -> Result<()> {
+    let dispatch = &control.dispatch;
+    let mut touched = BTreeSet::new();
+    let news = gather(control);
+    if !news.is_empty() {
+        log_ends(control, &news);
+        propose(control, Batch::Round(news)).await?;
+    }
+    let begun = std::time::Instant::now();
+    let plan = decide(control);
+    Metrics::global().record_placement(begun.elapsed().as_secs_f64());
+    if !plan.round.is_empty() {
+        log_plan(&plan);
+        touched.extend(plan.round.starts.iter().map(|start| start.worker.clone()));
+        touched.extend(stopping_on(control, &plan.round));
+        propose(control, Batch::Round(plan.round)).await?;
+    }
+    dispatch.rounds.send_modify(|number| *number += 1);
+    let desk = dispatch.desk.lock();
+    for worker in &touched {
+        desk.fleet.wake(worker);
+    }
+    Ok(())
+}
+
+// What ended, what is lost, and which occurrences are due.
+fn gather(control: &Control) -> Round {
+    let now_ms = control.timer.now_ms();
+    let machine = control.machine.lock();
+    let mut desk = control.dispatch.desk.lock();
+    desk.renew(control);
+    let mut ends = std::mem::take(&mut desk.ends);
+    let since_ms = control.standing().since_ms;
+    let unheard_until_ms = since_ms + lease_bound_ms(control.dispatch.lease_ms);
+    ends.extend(desk.fleet.lost(&machine.batch, unheard_until_ms, now_ms));
+    ends.retain(|end| machine.batch.is_active(&end.task, end.run));
+    let wall_ms = wall_ms();
+    let due_ms = if machine.batch.is_due(wall_ms) { wall_ms } else { 0 };
+    Round { ends, due_ms, ..Round::default() }
+}
+
+fn decide(control: &Control) -> Plan {
+    let now_ms = control.timer.now_ms();
+    let machine = control.machine.lock();
+    let mut desk = control.dispatch.desk.lock();
+    let Desk { fleet, planner, estimates, .. } = &mut *desk;
+    let stuck = fleet.stuck(&machine.batch, now_ms);
+    for (name, _) in &stuck {
+        if let Some(run) = machine.batch.active(name) {
+            fleet.strike(&run.worker, now_ms);
+        }
+    }
+    let view = View {
+        table: &machine.batch,
+        fleet,
+        estimates,
+        times: control.dispatch.times,
+        now_ms,
+        wall_ms: wall_ms(),
+    };
+    let mut plan = planner.decide(view);
+    for (name, run) in stuck {
+        tracing::info!(target: DECISION, task = %name, run, "run makes no progress and is stopped");
+        plan.round.stops.push((name, run));
+    }
+    plan
+}
+
+fn stopping_on(control: &Control, round: &Round) -> BTreeSet<String> {
+    let machine = control.machine.lock();
+    let runs = round.stops.iter().filter_map(|(name, _)| machine.batch.active(name));
+    runs.map(|run| run.worker.clone()).collect()
+}
+
+fn log_ends(control: &Control, round: &Round) {
+    let machine = control.machine.lock();
+    for end in &round.ends {
+        let Some(run) = machine.batch.active(&end.task) else { continue };
+        let (task, how, worker) = (end.task, end.how, &run.worker);
+        let took_ms = wall_ms().saturating_sub(run.placed_ms);
+        tracing::info!(target: DECISION, %task, run = end.run, %how, worker, took_ms, "run ended");
+    }
+}
+
+fn log_plan(plan: &Plan) {
+    for verdict in &plan.verdicts {
+        let (job, occurrence, step) = verdict.key;
+        let (seated, evicted, reason) = (verdict.seated, verdict.evicted, verdict.reason);
+        let waiting = plan.waiting;
+        tracing::info!(target: DECISION, %job, occurrence, step, seated, evicted, waiting, reason, "placement");
+    }
+}
+
+async fn join(control: &Control, name: &str, id: MemberId) -> Result<Answer> {
+    let standing = control.standing();
+    if standing.members.iter().any(|member| member.id == id.to_string()) {
+        return Ok(Answer::Done);
+    }
+    // A daemon that comes with a new identity has lost the folder of its old one.
+    let old = standing.members.iter().find(|member| member.name == name);
+    if let Some(old) = old.and_then(|member| MemberId::parse(&member.id)) {
+        tracing::info!(target: DECISION, name, old = %old, new = %id, "member lost its folder; replaced");
+        control.change_members(member::Change::Remove { id: old }).await?;
+    }
+    control.change_members(member::Change::Add { id, name: name.into() }).await?;
+    tracing::info!(target: DECISION, name, id = %id, "member added as a learner");
+    Ok(Answer::Done)
+}
+
+/// Keeps the group at its size, for ever: promotes learners, replaces silent voters.
+pub(super) async fn keep_members(control: Arc<Control>) {
+    /// Between two looks, in milliseconds.
+    const LOOK_MS: u64 = 250;
+    loop {
+        control.timer.sleep(Duration::from_millis(LOOK_MS)).await;
+        let standing = control.standing();
+        let settled_ms = control.timer.now_ms().saturating_sub(standing.since_ms);
+        if !standing.leads {
+            continue;
+        }
+        let Some(change) = next_change(&standing.members, control.dispatch.losses, settled_ms)
+        else {
+            continue;
+        };
+        match control.change_members(change.clone()).await {
+            Ok(()) => tracing::info!(target: DECISION, ?change, "membership changed"),
+            Err(error) => tracing::debug!(%error, ?change, "membership not changed yet"),
+        }
+    }
+}
+
+/// The next membership change, if one is due. `losses` members may be lost at once.
+pub fn next_change(
+    members: &[super::status::Member],
+    losses: usize,
+    settled_ms: u64,
+) -> Option<member::Change> {
+    let wanted = (2 * losses + 1).max(VOTERS);
+    let id_of = |member: &super::status::Member| MemberId::parse(&member.id);
+    let voters = members.iter().filter(|member| member.is_voter).count();
+    let is_ready = |member: &&super::status::Member| {
+        !member.is_voter && member.matched > 0 && member.silent_ms < REPLACE_MS / 2
+    };
+    let learner = members.iter().find(is_ready);
+    if let Some(learner) = learner.filter(|_| voters < wanted) {
+        return id_of(learner).map(|id| member::Change::Promote { id });
+    }
+    if settled_ms < REPLACE_MS {
+        return None;
+    }
+    if learner.is_some() {
+        let silent = members.iter().find(|member| member.is_voter && member.silent_ms > REPLACE_MS);
+        if let Some(id) = silent.and_then(id_of) {
+            return Some(member::Change::Remove { id });
+        }
+    }
+    let dropped = members.iter().find(|member| !member.is_voter && member.silent_ms > DROP_MS);
+    dropped.and_then(id_of).map(|id| member::Change::Remove { id })
+}
+
+/// Voters where that many members are there: they bear the loss of two.
+const VOTERS: usize = 5;
--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -81,6 +81,8 @@
         driver::restore(&machine, &saved.snapshot.data.0);
         let replica = Replica::new(store.id(), timing, saved, rand::random(), timer.now_ms());
         let driver = Driver {
+            timing,
+            survives: settings.batch.is_on,
             replica,
             store,
             machine,
--- a/src/control/group/driver.rs
+++ b/src/control/group/driver.rs
@@ -16,12 +16,14 @@
 use crate::mesh::frame::{decode, encode};
 use crate::replica::member::Id;
 use crate::replica::store::{self, Store};
-use crate::replica::{Effect, Entry, Input, Payload, Refusal, Replica};
+use crate::replica::{Effect, Entry, Input, Payload, Refusal, Replica, Timing};
 use crate::state::{Machine, Reply, Stamped};
 use crate::telemetry::Metrics;
 
 /// Inputs that share one sync.
 const BATCH: usize = 512;
+/// Wait before a failed data folder is tried again.
+const RETRY: Duration = Duration::from_millis(500);
 /// Proposals that wait to be committed.
 const PLACED: usize = 16_384;
 /// Between updates of what operators see, in milliseconds.
@@ -41,6 +43,9 @@
 
 /// What the thread owns.
 pub(super) struct Driver {
+    pub(super) timing: Timing,
+    // Whether a failed disk is tried again; else the process ends.
+    pub(super) survives: bool,
     pub(super) replica: Replica,
     pub(super) store: Store,
     pub(super) machine: Arc<Table<Machine>>,
@@ -85,12 +90,38 @@
             }
             if let Err(error) = self.perform(effects).and_then(|()| self.compact()) {
                 // What was not synced must never be acknowledged.
-                tracing::error!(%error, "the data folder failed; stopping");
-                std::process::exit(74);
+                tracing::error!(%error, "the data folder failed");
+                if !self.survives {
+                    std::process::exit(74);
+                }
+                self.restart(receiver);
             }
         }
     }
 
+    // Waits until the disk works again, and goes on as after a start of the process.
+    fn restart(&mut self, receiver: &Receiver<Request>) {
+        self.standing.send_modify(|standing| standing.leads = false);
+        let saved = loop {
+            std::thread::sleep(RETRY);
+            // Whoever waits learns that the outcome of the proposal is unknown.
+            self.asked.clear();
+            self.placed.clear();
+            self.reads.clear();
+            while receiver.try_recv().is_ok() {}
+            match self.store.reopen() {
+                Ok(saved) => break saved,
+                Err(error) => tracing::warn!(%error, "the data folder still fails"),
+            }
+        };
+        restore(&self.machine, &saved.snapshot.data.0);
+        let (id, now_ms) = (self.store.id(), self.timer.now_ms());
+        self.replica = Replica::new(id, self.timing, saved, rand::random(), now_ms);
+        self.applied = self.replica.commit();
+        tracing::info!(applied = self.applied, "the data folder works again");
+        self.publish();
+    }
+
     fn take(&mut self, request: Request, effects: &mut Vec<Effect>) {
         let now_ms = self.timer.now_ms();
         let input = match request {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod fleet;
 pub mod gang;
+mod dispatch;
 mod group;
 pub mod lease;
 mod scheduler;
@@ -14,6 +15,7 @@
 
 use tokio::sync::Notify;
 
+use crate::batch;
 use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Rank, Table};
 use crate::kernel::timer::Timer;
@@ -28,6 +30,7 @@
 use crate::settings::Settings;
 use crate::state::claim::{Grant, Key};
 use crate::state::{Command, Machine, Reply, job};
+pub use dispatch::next_change;
 pub use group::{Group, Standing};
 
 /// Longest wait for a change to be committed.
@@ -52,6 +55,7 @@
     settled: Notify,
     // Woken where jobs or workers changed.
     changed: Notify,
+    dispatch: dispatch::Dispatch,
     local: OnceLock<Box<dyn Fn(Notice) + Send + Sync>>,
 }
 
@@ -79,9 +83,14 @@
             renewed: Notify::new(),
             settled: Notify::new(),
             changed: Notify::new(),
+            dispatch: dispatch::Dispatch::new(settings),
             local: OnceLock::new(),
         });
         tokio::spawn(scheduler::run(control.clone()));
+        if settings.batch.is_on {
+            tokio::spawn(dispatch::run(control.clone()));
+            tokio::spawn(dispatch::keep_members(control.clone()));
+        }
         control
     }
 
@@ -110,6 +119,9 @@
     /// # Errors
     /// The typed refusal of the call.
     pub async fn on_call(&self, from: &str, call: Call) -> Result<Answer> {
+        if matches!(&call, Call::Batch(request) if **request == batch::call::Request::Standing) {
+            return Ok(Answer::Batch(Box::new(dispatch::standing(self))));
+        }
         let standing = self.standing();
         if !standing.leads {
             return Ok(Answer::Redirect(standing.leader_name));
@@ -128,6 +140,10 @@
                 self.change_members(change).await?;
                 Ok(Answer::Done)
             }
+            Call::Batch(request) => {
+                let answer = dispatch::answer(self, *request).await?;
+                Ok(Answer::Batch(Box::new(answer)))
+            }
             Call::AddMember { name } => {
                 self.add_member(&name).await?;
                 Ok(Answer::Done)
--- a/src/kernel/lock.rs
+++ b/src/kernel/lock.rs
@@ -11,6 +11,8 @@
 pub enum Rank {
     /// Replicated state of a control member.
     Machine,
+    /// Batch work at the leader: workers, planner, ends to store.
+    Desk,
     /// Entry leases that the leader granted.
     Leases,
     /// Soft state of workers at the leader.
--- a/src/kernel/timer.rs
+++ b/src/kernel/timer.rs
@@ -1,7 +1,8 @@
 //! Timer service: the one source of time that parts subscribe to.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
 use tokio::sync::watch;
 
 /// A clock that parts read and subscribe to.
@@ -12,7 +13,8 @@
 
 #[derive(Clone, Debug)]
 enum Clock {
-    System(Instant),
+    // Time since the boot of the host when the timer was made.
+    System(Duration),
     Manual(watch::Receiver<u64>),
 }
 
@@ -28,9 +30,10 @@
 }
 
 impl Timer {
-    /// A timer on the monotonic system clock.
+    /// A timer on the clock since boot: leases must run out while a host is suspended, and the
+    /// monotonic clock does not count that time.
     pub fn system() -> Self {
-        Self { clock: Clock::System(Instant::now()) }
+        Self { clock: Clock::System(since_boot()) }
     }
 
     /// A timer that moves only by its hand.
@@ -43,7 +46,7 @@
     /// Milliseconds since the timer was made; never goes back.
     pub fn now_ms(&self) -> u64 {
         match &self.clock {
-            Clock::System(start) => start.elapsed().as_millis() as u64,
+            Clock::System(start) => since_boot().saturating_sub(*start).as_millis() as u64,
             Clock::Manual(now) => *now.borrow(),
         }
     }
@@ -57,9 +60,12 @@
     /// Waits until the clock shows at least `at_ms`.
     pub async fn sleep_until(&self, at_ms: u64) {
         match &self.clock {
-            Clock::System(start) => {
-                let at = *start + Duration::from_millis(at_ms);
-                tokio::time::sleep_until(at.into()).await;
+            Clock::System(_) => {
+                let mut now_ms = self.now_ms();
+                while now_ms < at_ms {
+                    tokio::time::sleep(Duration::from_millis(at_ms - now_ms)).await;
+                    now_ms = self.now_ms();
+                }
             }
             Clock::Manual(now) => {
                 let mut now = now.clone();
@@ -95,6 +101,11 @@
     }
 }
 
+fn since_boot() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    Duration::new(now.tv_sec.unsigned_abs(), now.tv_nsec.unsigned_abs() as u32)
+}
+
 /// Wall-clock milliseconds since the Unix epoch, for records and key ages only.
 pub fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! It stands between callers, upstreams and the platform's workers.
 
+pub mod batch;
 pub mod client;
 pub mod cmd;
 pub mod control;
@@ -9,7 +10,9 @@
 pub mod entry;
 pub mod error;
 pub mod kernel;
+pub mod listener;
 pub mod mesh;
+pub mod node;
 pub mod placement;
 pub mod replica;
 pub mod routing;
--- a/src/mesh/call.rs
+++ b/src/mesh/call.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::call as batch;
 use crate::control::status;
 use crate::placement::order::Order;
 use crate::placement::report::Report;
@@ -59,6 +60,8 @@
     Workers,
     /// Changes the membership.
     Change(member::Change),
+    /// A request about batch work.
+    Batch(Box<batch::Request>),
     /// Adds the daemon of this name as a member, and makes it a voter once it has caught up.
     AddMember {
         /// Name.
@@ -69,7 +72,11 @@
 impl Call {
     /// Whether the call orders a durable change, so that an unanswered one may have run.
     pub fn is_durable(&self) -> bool {
-        matches!(self, Self::Propose(_) | Self::Change(_) | Self::AddMember { .. })
+        match self {
+            Self::Propose(_) | Self::Change(_) | Self::AddMember { .. } => true,
+            Self::Batch(request) => request.is_durable(),
+            _ => false,
+        }
     }
 }
 
@@ -155,6 +162,8 @@
     Status(Box<status::Cluster>),
     /// Workers.
     Workers(Vec<status::Worker>),
+    /// Answer to a request about batch work.
+    Batch(Box<batch::Answer>),
     /// The receiver does not lead; the leader's name, if it is known.
     Redirect(Option<String>),
     /// Done.
--- a/src/mesh/handshake.rs
+++ b/src/mesh/handshake.rs
@@ -67,7 +67,9 @@
             return Err(Refused::Version { theirs: theirs.hello.version });
         }
         let name = &theirs.hello.name;
-        if !is_name(name) || *name == own.name {
+        // Daemons that find one another by address go by it.
+        let is_valid = is_name(name) || name.parse::<std::net::SocketAddr>().is_ok();
+        if !is_valid || *name == own.name {
             return Err(Refused::Name { name: name.clone() });
         }
         let mac = sign(key, &greeting, &theirs).finalize().into_bytes().to_vec();
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -24,9 +24,12 @@
 /// Longest time that one frame may take to be written.
 const WRITE: Duration = Duration::from_secs(5);
 /// Silence of the own end after which a ping is sent.
-const PING: Duration = Duration::from_secs(2);
-/// Silence of the other end after which the link is given up, so that it is dialled anew.
-const SILENCE: Duration = Duration::from_secs(7);
+const PING: Duration = Duration::from_millis(600);
+/// Silence of the other end after which the link is given up, so that it is dialled anew: three
+/// pings, well below the time in which work must go on after a cut.
+const SILENCE: Duration = Duration::from_millis(1_900);
+/// Longest wait for a connection and handshake with a daemon that was found by its address.
+const FIND: Duration = Duration::from_millis(1_000);
 /// Wait before a lost link is dialled again.
 const REDIAL: Duration = Duration::from_millis(200);
 
@@ -78,6 +81,20 @@
     }
 }
 
+/// Dials an address once, and runs the link for as long as it lasts.
+pub(super) async fn dial_once<R: Receiver>(
+    mesh: Mesh,
+    peer: Peer,
+    key: Arc<[u8]>,
+    receiver: Arc<R>,
+) {
+    match timeout(FIND, dial_one(&mesh, &peer, &key)).await {
+        Ok(Ok(ready)) => run(mesh, ready, receiver).await,
+        Ok(Err(refused)) => tracing::debug!(peer = peer.name, %refused, "link not made"),
+        Err(_) => tracing::debug!(peer = peer.name, "link handshake timed out"),
+    }
+}
+
 async fn dial_one(mesh: &Mesh, peer: &Peer, key: &[u8]) -> Result<Ready> {
     let io = |e: std::io::Error| Refused::Socket(e.into());
     let stream = TcpStream::connect(peer.address).await.map_err(io)?;
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -1,11 +1,13 @@
 //! Links between daemons: typed frames over one authenticated connection a pair.
 
 pub mod call;
+mod find;
 pub mod frame;
 mod handshake;
 mod link;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -14,6 +16,7 @@
 
 use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Rank, Table};
+use crate::kernel::timer::Timer;
 use crate::replica;
 use crate::replica::member::Id;
 use crate::settings::{Peer, Settings};
@@ -103,6 +106,37 @@
         Ok(())
     }
 
+    /// Listens for daemons, and dials those that `wanted` names whenever there is no link to them.
+    ///
+    /// # Errors
+    /// Where the address can't be bound.
+    pub async fn start_finding<R: Receiver>(
+        &self,
+        settings: &Settings,
+        timer: Timer,
+        receiver: Arc<R>,
+        wanted: impl Fn() -> BTreeSet<SocketAddr> + Send + 'static,
+    ) -> std::io::Result<()> {
+        let listener = tokio::net::TcpListener::bind(settings.listen.mesh).await?;
+        let key: Arc<[u8]> = Vec::new().into();
+        tokio::spawn(link::accept(self.clone(), listener, key.clone(), receiver.clone()));
+        let finder = find::Finder::new(self.clone(), settings.listen.mesh, key, receiver);
+        tokio::spawn(finder.run(timer, wanted));
+        Ok(())
+    }
+
+    /// Names of linked daemons that may hold a replica.
+    pub fn control_peers(&self) -> Vec<String> {
+        let links = self.inner.links.lock();
+        let control = links.iter().filter(|(_, linked)| linked.hello.is_control);
+        control.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Whether there is a link to the daemon.
+    pub fn is_linked(&self, name: &str) -> bool {
+        self.inner.links.lock().contains_key(name)
+    }
+
     /// Names of linked daemons.
     pub fn peers(&self) -> Vec<String> {
         self.inner.links.lock().keys().cloned().collect()
--- a/src/replica/store.rs
+++ b/src/replica/store.rs
@@ -105,6 +105,52 @@
         Ok(store.id)
     }
 
+    /// Makes an empty folder one of the first voters of a new group, which all know the same
+    /// voters. A folder that holds a member already stays as it is.
+    ///
+    /// # Errors
+    /// Where the folder can't be used.
+    pub fn bootstrap_among(folder: &Path, id: Id, voters: Members) -> Result<()> {
+        create_folder(folder)?;
+        let mut store = Self {
+            folder: folder.into(),
+            id,
+            _lock: lock(folder)?,
+            disk: Box::new(System),
+            segment: None,
+            written: 0,
+            failed: false,
+        };
+        let held = [IDENTITY, VOTE, SNAPSHOT].iter().any(|name| folder.join(name).exists());
+        if !held && store.segments()?.is_empty() {
+            store.replace(IDENTITY, &id)?;
+        }
+        // A start that was cut short after the identity goes on here.
+        let is_own = store.identity()? == id;
+        let is_fresh = !folder.join(SNAPSHOT).exists() && !folder.join(VOTE).exists();
+        if !is_own || !is_fresh || !store.segments()?.is_empty() {
+            return Ok(());
+        }
+        let snapshot = Snapshot { index: 1, members: voters, ..Snapshot::default() };
+        store.replace(SNAPSHOT, &Kept { snapshot, first_segment: 0 })
+    }
+
+    /// Reads the folder anew after a failed operation. What was written but never synced is cut
+    /// off first: the kernel may have dropped it.
+    ///
+    /// # Errors
+    /// Where the disk still fails; it may be tried again.
+    pub fn reopen(&mut self) -> Result<Saved> {
+        if let Some(segment) = &self.segment {
+            cut(&segment.path, segment.synced)?;
+        }
+        self.segment = None;
+        self.failed = false;
+        let loaded = self.load();
+        self.failed = loaded.is_err();
+        loaded
+    }
+
     /// Identity of the folder.
     pub fn id(&self) -> Id {
         self.id
@@ -263,13 +309,13 @@
             return Err(corrupt(&path, 0, "term and vote are missing or older than the log"));
         }
         if let Some((number, path)) = segments.last() {
-            self.reopen(*number, path)?;
+            self.continue_segment(*number, path)?;
         }
         Ok(Saved { vote, snapshot, entries })
     }
 
     // A process that died may have left bytes that were written but never synced.
-    fn reopen(&mut self, number: u64, path: &Path) -> Result<()> {
+    fn continue_segment(&mut self, number: u64, path: &Path) -> Result<()> {
         let opened = OpenOptions::new().append(true).open(path);
         let file = opened.map_err(|e| io_error(path, e))?;
         let bytes = file.metadata().map_err(|e| io_error(path, e))?.len();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a daemon: TOML, checked as a whole, every fault with its line and key.
 
+pub mod batch;
 mod reader;
 
 use std::net::SocketAddr;
@@ -37,6 +38,8 @@
     pub limits: Limits,
     /// Times.
     pub times: Times,
+    /// Batch work and discovery.
+    pub batch: batch::Batch,
     /// Form of the log.
     pub log: LogFormat,
 }
@@ -210,18 +213,20 @@
         if tokens.is_empty() != open {
             reader.fault("tokens", "name a `file`, or ask for open listeners with `none = true`");
         }
+        let batch = batch::Batch::read(reader);
         let settings = Self {
             name: reader.name("daemon.name"),
             zone: reader.name("daemon.zone"),
             is_entry,
             is_control,
             data_folder: (!data_folder.is_empty()).then(|| folder.join(data_folder)),
-            listen: Listen::read(reader),
-            cluster_key: folder.join(reader.text("mesh.key_file")),
+            listen: Listen::read(reader, batch.is_on),
+            cluster_key: folder.join(Self::key_file(reader, batch.is_on)),
             peers: reader.tables("peer", Peer::read),
             tokens: (!tokens.is_empty()).then(|| folder.join(tokens)),
             limits: Limits::read(reader),
             times: Times::read(reader),
+            batch,
             log: match reader.choice("log.format", &["human", "json"]) {
                 "json" => LogFormat::Json,
                 _ => LogFormat::Human,
@@ -231,6 +236,14 @@
         settings
     }
 
+    // Links between daemons of batch work may go without a key, on a network of their own.
+    fn key_file(reader: &mut Reader<'_>, is_optional: bool) -> String {
+        if is_optional {
+            return reader.text_or("mesh.key_file", "");
+        }
+        reader.text("mesh.key_file")
+    }
+
     fn check(&self, reader: &mut Reader<'_>) {
         let times = &self.times;
         if times.election_ms < times.heartbeat_ms * 3 {
@@ -247,12 +260,20 @@
 }
 
 impl Listen {
-    fn read(reader: &mut Reader<'_>) -> Self {
+    // A daemon of batch work serves only what its settings name; port 0 stands for the rest.
+    fn read(reader: &mut Reader<'_>, is_optional: bool) -> Self {
+        let mut optional = |key: &str| {
+            if !is_optional {
+                return reader.address(key);
+            }
+            let none = SocketAddr::from(([0, 0, 0, 0], 0));
+            reader.address_or_none(key).unwrap_or(none)
+        };
         Self {
-            callers: reader.address("listen.callers"),
-            operators: reader.address("listen.operators"),
-            platform: reader.address("listen.platform"),
-            health: reader.address("listen.health"),
+            callers: optional("listen.callers"),
+            operators: optional("listen.operators"),
+            platform: optional("listen.platform"),
+            health: optional("listen.health"),
             mesh: reader.address("listen.mesh"),
         }
     }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -1,7 +1,7 @@
 //! Reads typed values from a TOML tree and collects every fault.
 
 use std::collections::BTreeSet;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::ops::Range;
 
 use toml::Spanned;
@@ -120,6 +120,34 @@
         parsed
     }
 
+    /// Seconds, whole or not, as milliseconds.
+    pub(super) fn seconds(&mut self, key: &str, default_ms: u64) -> u64 {
+        let read = |value: &DeValue<'_>| {
+            let text = match value {
+                DeValue::Integer(whole) => whole.as_str(),
+                DeValue::Float(part) => part.as_str(),
+                _ => return None,
+            };
+            text.parse::<f64>().ok().filter(|seconds| (0.0..=86_400.0).contains(seconds))
+        };
+        let seconds = self.typed(key, "a number of seconds up to 86400", read);
+        seconds.map_or(default_ms, |seconds| (seconds * 1_000.0) as u64)
+    }
+
+    /// A list of hosts, each an IP address with or without a port.
+    pub(super) fn hosts(&mut self, key: &str) -> Vec<IpAddr> {
+        let read = |value: &DeValue<'_>| {
+            let mut hosts = Vec::new();
+            for item in value.as_array()? {
+                let text = item.get_ref().as_str()?;
+                let with_port = text.parse::<SocketAddr>().map(|address| address.ip());
+                hosts.push(with_port.or_else(|_| text.parse()).ok()?);
+            }
+            Some(hosts)
+        };
+        self.typed(key, "a list of IP addresses", read).unwrap_or_default()
+    }
+
     pub(super) fn tables<T>(&mut self, key: &str, read: fn(&mut Self, &str) -> T) -> Vec<T> {
         let count = self.typed(key, "a list of tables", |value| value.as_array().map(|a| a.len()));
         let mut items = Vec::new();
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::table;
 use crate::error;
 
 /// Result of applying a command.
@@ -26,6 +27,8 @@
     Job(job::Command),
     /// Changes what is remembered of a worker.
     Worker(worker::Command),
+    /// Changes batch work.
+    Batch(table::Command),
 }
 
 /// A command with the time that the leader gave it.
@@ -63,6 +66,9 @@
     pub jobs: job::Table,
     /// Workers that are in quarantine or drained.
     pub workers: worker::Table,
+    /// Batch work: its document and jobs.
+    #[serde(default)]
+    pub batch: table::Table,
     /// Greatest time applied so far, in wall-clock milliseconds.
     pub now_ms: u64,
 }
@@ -91,6 +97,7 @@
                 self.workers.apply(command, now_ms);
                 Ok(Reply::Done)
             }
+            Command::Batch(command) => self.batch.apply(command, now_ms).map(|()| Reply::Done),
         }
     }
 }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -12,6 +12,9 @@
 use crate::settings::LogFormat;
 use crate::verdict::Verdict;
 
+/// Lines of the log that wait to be written; further ones are dropped.
+const LINES: usize = 4_096;
+
 /// Target of decision lines: one for each routing or placement decision.
 pub const DECISION: &str = "decision";
 
@@ -31,6 +34,19 @@
     };
 }
 
+/// Starts the log of a daemon of batch work: JSON on standard output, written by a thread of its
+/// own. Lines are dropped rather than waited for. The guard writes what is left when dropped.
+pub fn start_bounded_log() -> tracing_appender::non_blocking::WorkerGuard {
+    let builder = tracing_appender::non_blocking::NonBlockingBuilder::default();
+    let (writer, guard) = builder.lossy(true).buffered_lines_limit(LINES).finish(std::io::stdout());
+    let filter = EnvFilter::try_from_env("EELGRASSVALVE_LOG")
+        .unwrap_or_else(|_| EnvFilter::new("info,volo_http=warn"));
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer);
+    // A second daemon in the same process shares the first one's log.
+    let _ = builder.json().flatten_event(true).try_init();
+    guard
+}
+
 /// Instruments of a daemon.
 pub struct Metrics {
     registry: Registry,
