--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -17,6 +17,8 @@
 const SILENT_MS: u64 = 2_500;
 /// Time without any progress after which a run counts as stuck, in milliseconds.
 const STUCK_MS: u64 = 2_500;
+/// Run time below which hardly any task ends, in milliseconds.
+const EARLY_MS: u64 = 1_000;
 /// First exclusion of a worker that failed or stalled a run, in milliseconds; it doubles.
 const EXCLUDE_MS: u64 = 1_500;
 /// Longest exclusion of a worker, in milliseconds.
@@ -282,6 +284,25 @@
         self.beat.running.is_empty() && self.beat.ended.is_empty()
     }
 
+    /// Milliseconds until one of its runs may end, judged by their progress; `None` where nothing
+    /// runs that can end by itself.
+    pub fn next_end_ms(&self, table: &Table, wall_ms: u64) -> Option<u64> {
+        let mut next = None;
+        for row in &self.beat.running {
+            let Some(run) = table.active(&row.task) else { return Some(0) };
+            let ran_ms = wall_ms.saturating_sub(run.placed_ms);
+            let done = u64::from(row.percent);
+            // The first percents tell too little; a gang whose share is done ends with the others.
+            let left_ms = match done {
+                0..5 => EARLY_MS.saturating_sub(ran_ms),
+                5..100 => ran_ms * (100 - done) / done,
+                _ => 0,
+            };
+            next = Some(next.map_or(left_ms, |held: u64| held.min(left_ms)));
+        }
+        next
+    }
+
     fn checkpoint(&self, name: &Name, run: u32) -> &str {
         let row = self.beat.running.iter().find(|row| row.task == *name && row.run == run);
         row.map_or("", |row| &row.checkpoint)
@@ -302,7 +323,8 @@
             let is_lasting = table.live.get(&row.task.job).is_some_and(|job| {
                 job.spec.steps.get(row.task.step as usize).is_some_and(|step| step.is_lasting)
             });
-            if is_lasting {
+            // A member of a gang that has done its share waits for the others.
+            if is_lasting || row.percent >= 100 {
                 continue;
             }
             let fresh = Watch { percent: row.percent, moved_ms: now_ms };
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -141,8 +141,7 @@
     (key, step, progress, tasks): (Key, &'a Step, &'a Progress, Vec<u32>),
 ) -> Candidate<'a> {
     let begun_ms = occurrence.due_ms;
-    let chain_ms = chain_ms(view, job);
-    let span_ms = (job.terms.stretch * chain_ms as f64) as u64 + job.terms.target_ms;
+    let span_ms = span_ms(view, job);
     let objective_ms = begun_ms + span_ms;
     let done_ms = view.wall_ms + rest_ms;
     Candidate {
@@ -166,8 +165,13 @@
     view.estimates.run_ms(&job.queue, step.estimate_ms)
 }
 
+/// Time from its due time within which a job should complete, in milliseconds.
+pub(super) fn span_ms(view: &View<'_>, job: &Job) -> u64 {
+    (job.terms.stretch * longest_ms(view, job) as f64) as u64 + job.terms.target_ms
+}
+
 /// Time that the longest chain of steps takes, in milliseconds.
-fn chain_ms(view: &View<'_>, job: &Job) -> u64 {
+pub(super) fn longest_ms(view: &View<'_>, job: &Job) -> u64 {
     longest(job, |at| run_ms(view, job, &job.spec.steps[at]))
 }
 
--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -4,12 +4,18 @@
 
 use super::seat::{active_runs, has_label, held_by, is_unlucky};
 use super::{Board, Candidate, View};
-use crate::batch::job::{Demand, Name};
+use crate::batch::job::{Demand, Job, Name};
 
 /// Weight of an accelerator against a core in the cost of lost work.
 const ACCELERATOR_CORES: u64 = 8;
 /// Cost of a stop beside the lost work, in core-milliseconds: what starts again waits again.
 const STOP_COST: u64 = 20_000;
+/// Cost of making a job late that would have been on time, in core-milliseconds: about what its
+/// tasks use of a worker in ten seconds.
+const LATE_COST: u64 = 800_000;
+/// Most that an urgent job which nothing guarantees may cost others, in core-milliseconds: what
+/// one such job is worth, next to work that is done in vain.
+const WORTH: u64 = 1_200_000;
 
 /// Runs to stop, and the seats that they free together with what is free already.
 #[derive(Debug)]
@@ -75,7 +81,10 @@
                 best = Some((cost, slots));
             }
         }
-        let (_, slots) = best?;
+        let (cost, slots) = best?;
+        if cost > WORTH && !candidate.is_guaranteed {
+            return None;
+        }
         let mut seats = BTreeMap::new();
         let mut victims = BTreeSet::new();
         for slot in slots {
@@ -152,11 +161,24 @@
     slots
 }
 
+// What it costs that a job's run begins again, beside the work itself.
+fn late_cost(view: &View<'_>, job: &Job) -> u64 {
+    let rest_ms = super::candidate::longest_ms(view, job);
+    let span_ms = super::candidate::span_ms(view, job);
+    let due_ms = job.occurrences.values().map(|occurrence| occurrence.due_ms).min();
+    let objective_ms = due_ms.unwrap_or(job.accepted_ms) + span_ms;
+    let would_end_ms = view.wall_ms + rest_ms;
+    // What is late already, or still ends on time, loses little.
+    let is_lost = view.wall_ms < objective_ms && would_end_ms > objective_ms;
+    if is_lost { LATE_COST } else { 0 }
+}
+
 impl Index {
     fn new(view: &View<'_>) -> Self {
         let mut index = Self::default();
         for job in view.table.live.values() {
             let mut gangs: BTreeMap<(u32, u32), usize> = BTreeMap::new();
+            let late_cost = late_cost(view, job);
             for (name, run) in active_runs(job) {
                 let step = &job.spec.steps[name.step as usize];
                 if run.is_stopping || step.is_lasting {
@@ -176,7 +198,7 @@
                 };
                 if at == fresh {
                     let priority = job.terms.priority;
-                    index.victims.push(Victim { runs: Vec::new(), priority, cost: 0 });
+                    index.victims.push(Victim { runs: Vec::new(), priority, cost: late_cost });
                 }
                 let victim = &mut index.victims[at];
                 victim.runs.push((name, run.number));
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -28,12 +28,17 @@
 /// Longest wait of a heartbeat for the round that stores its ends: a worker drops an answer that
 /// comes later than a second after it sent the heartbeat.
 const STORE_MS: u64 = 700;
-/// Longest wait of an idle worker's heartbeat for orders, bounded in the same way.
+/// Longest wait of a heartbeat for orders, bounded in the same way.
 const HOLD_MS: u64 = 600;
-/// Wait of a busy worker before its next heartbeat, in milliseconds; an end begins one at once.
-const BUSY_NEXT_MS: u64 = 300;
-/// Wait of an idle worker, in milliseconds; its heartbeats are held instead.
-const IDLE_NEXT_MS: u64 = 20;
+/// Shortest wait that is worth holding a heartbeat for, in milliseconds.
+const HOLD_MIN_MS: u64 = 60;
+/// Part of the time until the next end during which a heartbeat is not held, in milliseconds: a
+/// held heartbeat delays the news of an end.
+const END_MARGIN_MS: u64 = 60;
+/// Wait of a worker before its next heartbeat, in milliseconds; its heartbeats are held instead.
+const NEXT_MS: u64 = 20;
+/// Wait of a worker whose next end is near, in milliseconds; the end begins a heartbeat at once.
+const NEAR_END_MS: u64 = 150;
 /// Silence of a voter after which a caught-up learner takes its place, in milliseconds: longer
 /// than a restart, shorter than the time after which the next loss must be borne.
 const REPLACE_MS: u64 = 2_500;
@@ -190,7 +195,7 @@
     let dispatch = &control.dispatch;
     let now_ms = control.timer.now_ms();
     let worker = beat.worker.clone();
-    let (heard, has_orders, is_idle, wake) = {
+    let (heard, hold_ms, wake) = {
         let machine = control.machine.lock();
         let mut desk = dispatch.desk.lock();
         desk.renew(control);
@@ -204,16 +209,15 @@
         let orders = desk.fleet.orders(&worker, &machine.batch);
         let has_orders = !orders.start.is_empty() || !orders.stop.is_empty();
         let session = desk.fleet.session(&worker);
-        let is_idle = session.is_some_and(|held| held.is_idle() && !held.beat.is_draining);
-        (heard, has_orders, is_idle, session.map(|held| held.orders.clone()))
+        let next_end_ms = session.and_then(|held| held.next_end_ms(&machine.batch, wall_ms()));
+        let hold_ms = hold_ms(has_orders, next_end_ms);
+        (heard, hold_ms, session.map(|held| held.orders.clone()))
     };
     if !heard.ends.is_empty() {
-        await_round(control).await;
-    } else if !has_orders && is_idle {
-        // Room has come up, or is still there: the round that takes it wakes this heartbeat.
-        if let Some(wake) = wake {
-            let _ = tokio::time::timeout(Duration::from_millis(HOLD_MS), wake.notified()).await;
-        }
+        await_round(control, &heard.ends).await;
+    } else if let (Some(hold_ms), Some(wake)) = (hold_ms, wake) {
+        // The round that has orders for the worker wakes this heartbeat.
+        let _ = tokio::time::timeout(Duration::from_millis(hold_ms), wake.notified()).await;
     }
     control.group.read().await?;
     let machine = control.machine.lock();
@@ -221,12 +225,21 @@
     let mut orders = desk.fleet.orders(&worker, &machine.batch);
     orders.lease_ms = Some(dispatch.lease_ms);
     orders.term = control.standing().term;
-    orders.next_ms = if is_idle && orders.start.is_empty() { IDLE_NEXT_MS } else { BUSY_NEXT_MS };
+    orders.next_ms = if hold_ms.is_some() { NEXT_MS } else { NEAR_END_MS };
     orders.leader = control.settings.name.clone();
     log_orders(&worker, &orders);
     Ok(Answer::Orders(Box::new(orders)))
 }
 
+// How long a heartbeat is held for orders, if it is.
+fn hold_ms(has_orders: bool, next_end_ms: Option<u64>) -> Option<u64> {
+    if has_orders {
+        return None;
+    }
+    let until_ms = next_end_ms.map_or(HOLD_MS, |end_ms| end_ms.saturating_sub(END_MARGIN_MS));
+    (until_ms >= HOLD_MIN_MS).then_some(until_ms.min(HOLD_MS))
+}
+
 fn log_orders(worker: &str, orders: &Orders) {
     for start in &orders.start {
         let (task, run) = (start.task, start.run);
@@ -237,14 +250,20 @@
     }
 }
 
-// Waits until a round that began after now has been committed.
-async fn await_round(control: &Control) {
+// Waits until a round has stored these ends and decided what starts in the freed room.
+async fn await_round(control: &Control, ends: &[End]) {
     let mut rounds = control.dispatch.rounds.subscribe();
-    let seen = *rounds.borrow_and_update();
+    rounds.mark_unchanged();
     control.dispatch.changed.notify_one();
-    // A round that is under way may have missed the news: the one after it has them.
-    let done = rounds.wait_for(|number| *number >= seen + 1);
-    let _ = tokio::time::timeout(Duration::from_millis(STORE_MS), done).await;
+    let is_stored = || {
+        let machine = control.machine.lock();
+        !ends.iter().any(|end| machine.batch.is_active(&end.task, end.run))
+    };
+    let stored = async {
+        // A round that was under way may have missed the news: the one after it has them.
+        while rounds.changed().await.is_ok() && !is_stored() {}
+    };
+    let _ = tokio::time::timeout(Duration::from_millis(STORE_MS), stored).await;
 }
 
 async fn leave(control: &Control, worker: &str) -> Result<Answer> {
