--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -14,8 +14,12 @@
 use crate::state::{Command, Reply};
 use crate::verdict::Verdict;
 
+/// Wait of a batch request for a leader while nobody has taken it: an election and a half.
+const UNTRIED: Duration = Duration::from_millis(1_200);
 /// Wait before the leader is looked for again.
 const PAUSE: Duration = Duration::from_millis(50);
+/// When a caller may try again where no leader answers: an election takes about as long.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest wait for one daemon's answer.
 const ATTEMPT: Duration = Duration::from_millis(1_500);
 
@@ -95,12 +99,15 @@
     /// The leader's refusal, or `no_quorum` with the verdict that the sends allow.
     pub async fn call(&self, call: Call, within: Duration) -> Result<Answer> {
         let until_ms = self.timer.now_ms() + within.as_millis() as u64;
+        let untried_until_ms = self.timer.now_ms().saturating_add(untried(&call).as_millis() as u64);
         let mut verdict = Verdict::NotRun;
         let mut turn = 0;
         loop {
             let left_ms = until_ms.saturating_sub(self.timer.now_ms());
-            if left_ms == 0 {
-                return Err(Error::new(verdict, Code::NoQuorum, "no leader answers"));
+            let is_untried = verdict == Verdict::NotRun;
+            if left_ms == 0 || (is_untried && self.timer.now_ms() >= untried_until_ms) {
+                let error = Error::new(verdict, Code::NoQuorum, "no leader answers");
+                return Err(error.retry_after(RETRY_AFTER));
             }
             let target = self.target(turn);
             turn += 1;
@@ -169,6 +176,14 @@
     }
 }
 
+// How long a call that nobody took waits for a leader before its caller is sent away.
+fn untried(call: &Call) -> Duration {
+    match call {
+        Call::Batch(_) => UNTRIED,
+        _ => Duration::from_secs(86_400),
+    }
+}
+
 // Calls that wait by design get their own patience.
 fn patience(call: &Call) -> Duration {
     const MARGIN: Duration = Duration::from_millis(500);
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -24,7 +24,7 @@
 /// Longest time that one frame may take to be written.
 const WRITE: Duration = Duration::from_secs(5);
 /// Silence of the own end after which a ping is sent.
-const PING: Duration = Duration::from_millis(600);
+const PING: Duration = Duration::from_millis(400);
 /// Silence of the other end after which the link is given up, so that it is dialled anew: three
 /// pings, well below the time in which work must go on after a cut.
 const SILENCE: Duration = Duration::from_millis(1_900);
@@ -112,13 +112,13 @@
 async fn run<R: Receiver>(mesh: Mesh, ready: Ready, receiver: Arc<R>) {
     let name = ready.hello.name.clone();
     let (queue, frames) = mpsc::channel(QUEUE_FRAMES);
-    let number = mesh.add_link(ready.hello.clone(), queue);
+    let (number, heard) = mesh.add_link(ready.hello.clone(), queue);
     tracing::info!(peer = name, "link up");
     receiver.on_link(&ready.hello);
     let (sink, stream) = ready.socket.split();
     tokio::select! {
         () = write(sink, frames) => {}
-        () = read(&mesh, &ready.hello, stream, receiver) => {}
+        () = read(&mesh, &ready.hello, stream, &heard, receiver) => {}
     }
     mesh.remove_link(&name, number);
     tracing::info!(peer = name, "link down");
@@ -143,9 +143,11 @@
     mesh: &Mesh,
     hello: &super::Hello,
     mut stream: SplitStream<Socket>,
+    heard: &super::Heard,
     receiver: Arc<R>,
 ) {
     while let Ok(Some(Ok(message))) = timeout(SILENCE, stream.next()).await {
+        heard.note();
         let Message::Binary(bytes) = message else { continue };
         let frame = match decode::<Frame>(&bytes) {
             Ok(frame) => frame,
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -23,6 +23,10 @@
 use call::{Answer, Call};
 use frame::{Frame, Hello};
 
+/// Silence of a link from which on no call is sent on it, in milliseconds: both ends of a link that
+/// works are heard more often, and a call into a dead link leaves its caller in doubt.
+const SUSPECT_MS: u64 = 1_000;
+
 /// Frames that wait to be sent on one link.
 const QUEUE_FRAMES: usize = 4_096;
 
@@ -53,12 +57,36 @@
     links: Table<BTreeMap<String, Linked>>,
     calls: Table<BTreeMap<u64, Waiting>>,
     next_call: AtomicU64,
+    timer: Timer,
 }
 
 struct Linked {
     hello: Hello,
     number: u64,
     queue: mpsc::Sender<Frame>,
+    heard: Heard,
+}
+
+/// When a link was last heard, in milliseconds since the mesh was made.
+#[derive(Clone, Debug)]
+struct Heard {
+    timer: Timer,
+    at_ms: Arc<AtomicU64>,
+}
+
+impl Heard {
+    fn new(timer: &Timer) -> Self {
+        let at_ms = Arc::new(AtomicU64::new(timer.now_ms()));
+        Self { timer: timer.clone(), at_ms }
+    }
+
+    fn note(&self) {
+        self.at_ms.store(self.timer.now_ms(), Ordering::Relaxed);
+    }
+
+    fn silent_ms(&self) -> u64 {
+        self.timer.now_ms().saturating_sub(self.at_ms.load(Ordering::Relaxed))
+    }
 }
 
 struct Waiting {
@@ -74,6 +102,7 @@
             links: Table::new(Rank::Links, BTreeMap::new()),
             calls: Table::new(Rank::Calls, BTreeMap::new()),
             next_call: AtomicU64::new(1),
+            timer: Timer::system(),
         };
         Self { inner: Arc::new(inner) }
     }
@@ -178,6 +207,9 @@
     /// # Errors
     /// `not_run` where the call was not sent; `may_have_run` where no answer came.
     pub async fn call(&self, to: &str, call: Call, within: Duration) -> Result<Answer> {
+        if self.is_suspect(to) {
+            return Err(Error::not_run(Code::NoQuorum, format!("the link to {to} is silent")));
+        }
         let number = self.inner.next_call.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         let waiting = Waiting { peer: to.into(), answer: sender };
@@ -195,6 +227,11 @@
         }
     }
 
+    fn is_suspect(&self, name: &str) -> bool {
+        let links = self.inner.links.lock();
+        links.get(name).is_some_and(|linked| linked.heard.silent_ms() > SUSPECT_MS)
+    }
+
     fn answer(&self, number: u64, answer: Result<Answer>) {
         let waiting = self.inner.calls.lock().remove(&number);
         if let Some(waiting) = waiting {
@@ -203,12 +240,13 @@
         }
     }
 
-    fn add_link(&self, hello: Hello, queue: mpsc::Sender<Frame>) -> u64 {
+    fn add_link(&self, hello: Hello, queue: mpsc::Sender<Frame>) -> (u64, Heard) {
         let number = self.inner.next_call.fetch_add(1, Ordering::Relaxed);
         let name = hello.name.clone();
-        let linked = Linked { hello, number, queue };
+        let heard = Heard::new(&self.inner.timer);
+        let linked = Linked { hello, number, queue, heard: heard.clone() };
         self.inner.links.lock().insert(name, linked);
-        number
+        (number, heard)
     }
 
     fn remove_link(&self, name: &str, number: u64) {
--- /dev/null
+++ b/tests/batch_fleet.rs
@@ -0,0 +1,241 @@
+//! What a leader concludes from heartbeats: ends, losses, orders, acknowledgements.
+
+mod support;
+
+use eelgrassvalve::batch::fleet::lease_bound_ms;
+use eelgrassvalve::batch::job::Id;
+use eelgrassvalve::batch::table::Command;
+use eelgrassvalve::batch::worker::{Beat, End, How};
+use rstest::rstest;
+use support::batch::{Desk, LEASE_MS, name, step};
+
+/// One job of one task that has its place on `w0`, as its worker knows.
+fn running() -> Desk {
+    let mut desk = Desk::with_workers(2);
+    desk.submit(1, "small", vec![step(1)]);
+    desk.start(name(1, 0, 0), 1, "w0");
+    desk.hear("w0", |_| {});
+    desk
+}
+
+fn end(number: u64, how: How) -> End {
+    End { number, task: name(1, 0, 0), run: 1, how, checkpoint: String::new() }
+}
+
+#[test]
+fn a_start_is_told_until_a_heartbeat_shows_it() {
+    let mut desk = Desk::with_workers(1);
+    desk.submit(1, "small", vec![step(1)]);
+    desk.round();
+    for _ in 0..2 {
+        desk.hear("w0", |beat| beat.running.clear());
+        let orders = desk.fleet.orders("w0", &desk.table);
+        assert_eq!(orders.start.len(), 1);
+        assert_eq!(orders.start[0].payload, "text");
+    }
+    desk.hear("w0", |_| {});
+    assert!(desk.fleet.orders("w0", &desk.table).start.is_empty());
+}
+
+#[test]
+fn an_end_is_acknowledged_only_once_it_is_stored() {
+    let mut desk = running();
+    let heard = desk.hear("w0", |beat| {
+        beat.running.clear();
+        beat.ended = vec![end(7, How::Done)];
+    });
+    assert_eq!(desk.fleet.orders("w0", &desk.table).acknowledged, 0);
+    desk.store(heard);
+    assert_eq!(desk.fleet.orders("w0", &desk.table).acknowledged, 7);
+    assert_eq!(desk.phase(1), "completed");
+}
+
+#[test]
+fn ends_of_runs_that_count_no_more_are_acknowledged_too() {
+    let mut desk = running();
+    desk.apply(Command::Cancel(Id(1)));
+    let heard = desk.hear("w0", |beat| beat.ended = vec![end(3, How::Done)]);
+    assert!(heard.ends.is_empty());
+    assert_eq!(desk.fleet.orders("w0", &desk.table).acknowledged, 3);
+}
+
+#[rstest]
+#[case::sent_again(0, true)]
+#[case::newer(1, false)]
+fn late_heartbeats_change_nothing(#[case] later: u64, #[case] is_stale: bool) {
+    let mut desk = running();
+    let sequence = desk.fleet.session("w0").expect("is known").beat.sequence;
+    let heard = desk.hear("w0", |beat| {
+        beat.sequence = sequence + later;
+        beat.running.clear();
+        beat.ended = vec![end(1, How::Failed)];
+    });
+    assert_eq!(heard.is_stale, is_stale);
+    assert_eq!(heard.ends.is_empty(), is_stale);
+}
+
+#[test]
+fn a_heartbeat_of_an_earlier_incarnation_is_late() {
+    let mut desk = Desk::with_workers(1);
+    desk.hear("w0", |beat| beat.incarnation = 5);
+    let heard = desk.hear("w0", |beat| {
+        beat.incarnation = 4;
+        beat.sequence = 1_000;
+    });
+    assert!(heard.is_stale);
+}
+
+#[test]
+fn a_newer_incarnation_holds_nothing_of_before() {
+    let mut desk = running();
+    let heard = desk.hear("w0", |beat| {
+        beat.incarnation = 2;
+        beat.sequence = 1;
+        beat.running.clear();
+    });
+    assert_eq!(heard.ends.iter().map(|end| end.how).collect::<Vec<_>>(), [How::Lapsed]);
+}
+
+#[test]
+fn a_worker_that_left_ends_its_runs_and_is_not_heard_again() {
+    let mut desk = running();
+    let ends = desk.fleet.leave("w0", &desk.table);
+    assert_eq!(ends.len(), 1);
+    assert!(desk.hear("w0", |beat| beat.sequence = 1_000).is_stale);
+    assert!(!desk.hear("w0", |beat| beat.incarnation = 2).is_stale);
+}
+
+#[rstest]
+#[case::lease_may_run(lease_bound_ms(LEASE_MS) - 1, 0)]
+#[case::lease_has_ended(lease_bound_ms(LEASE_MS), 1)]
+fn a_silent_worker_is_lost_once_its_lease_has_ended(#[case] after_ms: u64, #[case] lost: usize) {
+    let mut desk = running();
+    let now_ms = desk.now_ms + after_ms;
+    assert_eq!(desk.fleet.lost(&desk.table, 0, now_ms).len(), lost);
+}
+
+#[test]
+fn the_bound_of_a_lease_covers_a_clock_that_is_two_percent_slow() {
+    for lease_ms in [100, 3_000, 6_000, 10_000] {
+        assert!(lease_bound_ms(lease_ms) > lease_ms * 102 / 100);
+    }
+}
+
+#[test]
+fn workers_that_a_new_leader_never_heard_count_from_its_election() {
+    let desk = running();
+    let empty = eelgrassvalve::batch::fleet::Fleet::default();
+    assert!(empty.lost(&desk.table, 5_000, 4_999).is_empty());
+    assert_eq!(empty.lost(&desk.table, 5_000, 5_000).len(), 1);
+}
+
+#[test]
+fn what_the_table_does_not_place_there_is_stopped() {
+    let mut desk = running();
+    desk.apply(Command::Cancel(Id(1)));
+    let mut other = Desk::with_workers(1);
+    other.submit(1, "small", vec![step(1)]);
+    other.start(name(1, 0, 0), 1, "w0");
+    other.hear("w0", |_| {});
+    let orders = desk.fleet.orders("w0", &desk.table);
+    assert_eq!(orders.stop, [(name(1, 0, 0), 1)]);
+}
+
+fn draining(beat: &mut Beat) {
+    beat.is_draining = true;
+}
+
+#[test]
+fn a_draining_worker_is_told_no_start_and_gives_unstarted_runs_back() {
+    let mut desk = Desk::with_workers(1);
+    desk.submit(1, "small", vec![step(1)]);
+    desk.round();
+    let heard = desk.hear("w0", |beat| {
+        draining(beat);
+        beat.running.clear();
+    });
+    assert!(desk.fleet.orders("w0", &desk.table).start.is_empty());
+    assert_eq!(heard.ends.len(), 1);
+    desk.store(heard);
+    assert!(desk.round().round.starts.is_empty(), "nothing is placed on a draining worker");
+}
+
+#[test]
+fn a_run_that_was_never_told_and_must_stop_is_given_back() {
+    let mut desk = Desk::with_workers(1);
+    desk.submit(1, "small", vec![step(1)]);
+    desk.round();
+    let round = eelgrassvalve::batch::table::Round {
+        stops: vec![(name(1, 0, 0), 1)],
+        ..Default::default()
+    };
+    desk.apply(Command::Round(round));
+    let heard = desk.hear("w0", |beat| beat.running.clear());
+    assert_eq!(heard.ends.len(), 1);
+}
+
+#[test]
+fn room_is_free_only_once_the_worker_lists_the_end() {
+    let mut desk = running();
+    desk.apply(Command::Cancel(Id(1)));
+    let free = |desk: &Desk| desk.fleet.places(&desk.table, desk.now_ms)[0].free.accelerators;
+    assert_eq!(free(&desk), 7);
+    desk.hear("w0", |beat| beat.ended = vec![end(1, How::Stopped)]);
+    assert_eq!(free(&desk), 8);
+}
+
+#[test]
+fn a_start_that_was_just_told_takes_room_even_when_its_job_is_cancelled() {
+    let mut desk = Desk::with_workers(1);
+    desk.submit(1, "small", vec![step(1)]);
+    desk.round();
+    desk.hear("w0", |beat| beat.running.clear());
+    desk.fleet.orders("w0", &desk.table);
+    desk.apply(Command::Cancel(Id(1)));
+    assert_eq!(desk.fleet.places(&desk.table, desk.now_ms)[0].free.accelerators, 7);
+}
+
+/// Found on the calm day of Attica: members of gangs that had done their share were stopped.
+#[rstest]
+#[case::stands_still(50, 1)]
+#[case::waits_for_the_others(100, 0)]
+fn a_run_without_progress_is_stuck(#[case] percent: u8, #[case] stuck: usize) {
+    let mut desk = running();
+    for _ in 0..8 {
+        desk.hear("w0", |beat| beat.running[0].percent = percent);
+        desk.now_ms += 500;
+    }
+    assert_eq!(desk.fleet.stuck(&desk.table, desk.now_ms).len(), stuck);
+}
+
+#[test]
+fn a_worker_that_failed_a_run_gets_no_work_for_a_while() {
+    let mut desk = running();
+    let heard = desk.hear("w0", |beat| {
+        beat.running.clear();
+        beat.ended = vec![end(1, How::Failed)];
+    });
+    desk.store(heard);
+    let is_open = |desk: &Desk| desk.fleet.places(&desk.table, desk.now_ms)[0].is_open;
+    assert!(!is_open(&desk));
+    desk.now_ms += 2_000;
+    desk.hear("w0", |_| {});
+    assert!(is_open(&desk));
+}
+
+/// A held heartbeat delays the news of an end, so the hold stops before the next one.
+#[rstest]
+#[case::nothing_runs(None, None)]
+#[case::half_done(Some(50), Some(4_000))]
+#[case::nearly_done(Some(80), Some(1_000))]
+#[case::waits_for_its_gang(Some(100), Some(0))]
+fn the_next_end_is_foretold(#[case] percent: Option<u8>, #[case] next_ms: Option<u64>) {
+    let mut desk = running();
+    desk.now_ms += 4_000;
+    desk.hear("w0", |beat| match percent {
+        Some(percent) => beat.running[0].percent = percent,
+        None => beat.running.clear(),
+    });
+    let session = desk.fleet.session("w0").expect("is known");
+    assert_eq!(session.next_end_ms(&desk.table, desk.now_ms), next_ms);
+}
--- /dev/null
+++ b/tests/batch_table.rs
@@ -0,0 +1,284 @@
+//! The replicated table of batch work: jobs, runs, ends and documents.
+
+mod support;
+
+use eelgrassvalve::batch::document::{Customer, Document, Queue};
+use eelgrassvalve::batch::job::{Id, Name, Schedule, Spec, Step};
+use eelgrassvalve::batch::table::{Command, End, Round, Table};
+use eelgrassvalve::batch::worker::How;
+use rstest::rstest;
+use support::batch::{Desk, document, gang, name, step};
+
+#[test]
+fn steps_wait_for_the_ones_before_them() {
+    let mut desk = Desk::with_workers(1);
+    desk.submit(1, "small", vec![step(2), Step { after: vec![0], ..step(1) }]);
+    desk.round();
+    assert!(desk.worker_of(name(1, 0, 0)).is_some());
+    assert!(desk.worker_of(name(1, 1, 0)).is_none());
+    desk.end(name(1, 0, 0), 1, How::Done);
+    desk.round();
+    assert!(desk.worker_of(name(1, 1, 0)).is_none(), "one task of the first step still runs");
+    desk.end(name(1, 0, 1), 1, How::Done);
+    desk.round();
+    assert!(desk.worker_of(name(1, 1, 0)).is_some());
+    assert_eq!(desk.phase(1), "running");
+    desk.end(name(1, 1, 0), 1, How::Done);
+    assert_eq!(desk.phase(1), "completed");
+}
+
+#[rstest]
+#[case::done(How::Done, "completed", None)]
+#[case::failed_once(How::Failed, "running", Some(1))]
+#[case::stopped(How::Stopped, "running", Some(0))]
+#[case::lapsed(How::Lapsed, "running", Some(0))]
+#[case::refused(How::Refused, "running", Some(0))]
+fn an_end_does(#[case] how: How, #[case] phase: &str, #[case] failures: Option<u32>) {
+    let mut desk = Desk::new();
+    desk.submit(1, "small", vec![step(1)]);
+    desk.start(name(1, 0, 0), 1, "w0");
+    desk.end(name(1, 0, 0), 1, how);
+    assert_eq!(desk.phase(1), phase);
+    let task = desk.table.job(Id(1)).and_then(|job| job.task(&name(1, 0, 0)).cloned());
+    assert_eq!(task.map(|task| task.failures), failures);
+}
+
+#[test]
+fn ends_of_other_runs_change_nothing() {
+    let mut desk = Desk::new();
+    desk.submit(1, "small", vec![step(1)]);
+    desk.start(name(1, 0, 0), 1, "w0");
+    desk.end(name(1, 0, 0), 1, How::Lapsed);
+    desk.start(name(1, 0, 0), 2, "w1");
+    let before = desk.table.clone();
+    desk.end(name(1, 0, 0), 1, How::Done);
+    desk.end(name(1, 0, 0), 3, How::Done);
+    desk.end(name(7, 0, 0), 1, How::Done);
+    assert_eq!(desk.table, before);
+}
+
+#[rstest]
+#[case::not_higher_than_an_earlier_run(1)]
+#[case::while_one_runs(2)]
+fn a_start_is_refused(#[case] run: u32) {
+    let mut desk = Desk::new();
+    desk.submit(1, "small", vec![step(1)]);
+    desk.start(name(1, 0, 0), 1, "w0");
+    if run == 1 {
+        desk.end(name(1, 0, 0), 1, How::Stopped);
+    }
+    let before = desk.table.clone();
+    desk.start(name(1, 0, 0), run, "w1");
+    assert_eq!(desk.table, before);
+}
+
+#[test]
+fn a_job_fails_after_the_attempts_of_its_queue() {
+    let mut desk = Desk::new();
+    desk.submit(1, "large", vec![step(2)]);
+    desk.start(name(1, 0, 1), 1, "w1");
+    for run in 1..=2 {
+        assert_eq!(desk.phase(1), "running");
+        desk.start(name(1, 0, 0), run, "w0");
+        desk.end(name(1, 0, 0), run, How::Failed);
+    }
+    assert_eq!(desk.phase(1), "failed");
+    assert_eq!(desk.table.placed_on("w1").count(), 0, "the other task no longer has its place");
+}
+
+#[test]
+fn a_gang_ends_done_together() {
+    let mut desk = Desk::new();
+    desk.submit(1, "large", vec![gang(3)]);
+    for index in 0..3 {
+        desk.start(name(1, 0, index), 1, &format!("w{index}"));
+    }
+    desk.end(name(1, 0, 1), 1, How::Done);
+    assert_eq!(desk.phase(1), "completed");
+}
+
+#[test]
+fn one_failure_of_a_gang_counts_once_and_stops_the_others() {
+    let mut desk = Desk::new();
+    desk.submit(1, "large", vec![gang(3)]);
+    for index in 0..3 {
+        desk.start(name(1, 0, index), 1, &format!("w{index}"));
+    }
+    desk.end(name(1, 0, 0), 1, How::Failed);
+    let stopping = |index| desk.table.active(&name(1, 0, index)).is_some_and(|run| run.is_stopping);
+    assert!(stopping(1) && stopping(2));
+    desk.end(name(1, 0, 1), 1, How::Failed);
+    desk.end(name(1, 0, 2), 1, How::Broken);
+    let progress = &desk.table.live[&Id(1)].occurrences[&0].steps[0];
+    assert_eq!(progress.failures, 1);
+}
+
+#[test]
+fn a_checkpoint_of_one_member_is_that_of_the_gang() {
+    let mut desk = Desk::new();
+    desk.submit(1, "large", vec![Step { is_checkpointing: true, ..gang(2) }]);
+    for index in 0..2 {
+        desk.start(name(1, 0, index), 1, &format!("w{index}"));
+    }
+    let checkpoint = "saved".to_string();
+    let end = End { task: name(1, 0, 0), run: 1, how: How::Stopped, checkpoint };
+    desk.apply(Command::Round(Round { ends: vec![end], ..Round::default() }));
+    desk.end(name(1, 0, 1), 1, How::Broken);
+    let tasks = &desk.table.live[&Id(1)].occurrences[&0].steps[0].tasks;
+    assert!(tasks.iter().all(|task| task.checkpoint == "saved"));
+}
+
+#[test]
+fn a_cancelled_job_starts_nothing_and_keeps_no_place() {
+    let mut desk = Desk::with_workers(1);
+    desk.submit(1, "small", vec![step(2)]);
+    desk.start(name(1, 0, 0), 1, "w0");
+    desk.apply(Command::Cancel(Id(1)));
+    assert_eq!(desk.phase(1), "cancelled");
+    assert!(desk.round().round.starts.is_empty());
+    desk.start(name(1, 0, 1), 1, "w0");
+    assert_eq!(desk.table.placed_on("w0").count(), 0);
+    desk.apply(Command::Cancel(Id(1)));
+    assert_eq!(desk.phase(1), "cancelled");
+}
+
+#[test]
+fn a_resent_job_stays_one_job() {
+    let mut desk = Desk::new();
+    desk.submit(1, "small", vec![step(1)]);
+    desk.start(name(1, 0, 0), 1, "w0");
+    let before = desk.table.clone();
+    desk.submit(1, "small", vec![step(5)]);
+    assert_eq!(desk.table, before);
+    desk.end(name(1, 0, 0), 1, How::Done);
+    desk.submit(1, "small", vec![step(1)]);
+    assert_eq!(desk.phase(1), "completed");
+}
+
+#[test]
+fn occurrences_begin_at_their_times_and_all_count() {
+    let mut desk = Desk::with_workers(2);
+    let schedule = Schedule { count: 2, first_ms: desk.now_ms + 1_000, interval_ms: 500 };
+    let spec = Spec { payload: "text".into(), steps: vec![step(1)], schedule: Some(schedule) };
+    desk.submit_spec(1, "small", spec);
+    desk.round();
+    assert!(desk.table.live[&Id(1)].occurrences.is_empty());
+    assert!(!desk.table.is_due(desk.now_ms + 999));
+    desk.now_ms += 1_000;
+    assert!(desk.table.is_due(desk.now_ms));
+    desk.round();
+    desk.hear_all(2);
+    desk.round();
+    assert!(desk.worker_of(name(1, 0, 0)).is_some());
+    desk.end(name(1, 0, 0), 1, How::Done);
+    assert_eq!(desk.phase(1), "running", "the second occurrence is still to come");
+    desk.now_ms += 500;
+    desk.round();
+    desk.hear_all(2);
+    desk.round();
+    desk.end(Name { occurrence: 1, ..name(1, 0, 0) }, 1, How::Done);
+    assert_eq!(desk.phase(1), "completed");
+}
+
+#[test]
+fn a_lasting_job_runs_again_however_its_tasks_end() {
+    let mut desk = Desk::new();
+    desk.submit(1, "large", vec![Step { is_lasting: true, ..step(1) }]);
+    for (run, how) in [(1, How::Done), (2, How::Failed), (3, How::Failed), (4, How::Lapsed)] {
+        desk.start(name(1, 0, 0), run, "w0");
+        desk.end(name(1, 0, 0), run, how);
+        assert_eq!(desk.phase(1), "running");
+    }
+}
+
+#[test]
+fn pending_counts_jobs_of_which_nothing_has_started() {
+    let mut desk = Desk::new();
+    desk.submit(1, "small", vec![step(1)]);
+    desk.submit(2, "small", vec![step(1)]);
+    desk.submit(3, "large", vec![step(1)]);
+    assert_eq!(desk.table.pending("small"), 2);
+    desk.start(name(1, 0, 0), 1, "w0");
+    assert_eq!(desk.table.pending("small"), 1);
+}
+
+#[test]
+fn an_ended_job_is_remembered_for_its_time() {
+    let mut desk = Desk::new();
+    desk.submit(1, "small", vec![step(1)]);
+    desk.apply(Command::Cancel(Id(1)));
+    desk.now_ms += 120_000;
+    desk.submit(2, "small", vec![step(1)]);
+    assert_eq!(desk.phase(1), "cancelled");
+    desk.now_ms += 600_000;
+    desk.submit(3, "small", vec![step(1)]);
+    assert_eq!(desk.phase(1), "unknown");
+}
+
+#[rstest]
+#[case::higher(2, 2)]
+#[case::equal(1, 1)]
+#[case::lower(0, 1)]
+fn the_highest_revision_is_in_force(#[case] sent: u64, #[case] held: u64) {
+    let mut table = Table::default();
+    table.apply(&Command::Publish(Box::new(document())), 0).expect("applies");
+    let next = Document { revision: sent, queues: Vec::new(), ..document() };
+    table.apply(&Command::Publish(Box::new(next)), 0).expect("applies");
+    assert_eq!(table.document.revision, held);
+    assert_eq!(table.document.queues.is_empty(), sent > 1, "a lower or equal one changes nothing");
+}
+
+fn with_queue(change: impl FnOnce(&mut Queue)) -> Document {
+    let mut document = document();
+    change(&mut document.queues[0]);
+    document
+}
+
+#[rstest]
+#[case::sound(document(), 0)]
+#[case::no_revision(Document { revision: 0, ..document() }, 1)]
+#[case::no_time(with_queue(|queue| queue.timeout_ms = 0), 1)]
+#[case::unknown_pool(with_queue(|queue| queue.terms.pool = "other".into()), 1)]
+#[case::same_place(with_queue(|queue| queue.prefix = "/large/".into()), 1)]
+#[case::shared_key(shared_key(), 1)]
+#[case::all_at_once(with_queue(|queue| { queue.timeout_ms = 0; queue.prefix = "/large/".into() }), 2)]
+fn a_document_has_faults(#[case] document: Document, #[case] count: usize) {
+    assert_eq!(document.faults().len(), count, "{:?}", document.faults());
+}
+
+fn shared_key() -> Document {
+    let other = Customer { name: "other".into(), keys: vec!["key".into()], guaranteed: 0 };
+    let mut document = document();
+    document.customers.push(other);
+    document
+}
+
+#[rstest]
+#[case("host", "/urgent/00", Some(("urgent", "00")))]
+#[case("host", "/urgent/", Some(("urgent", "")))]
+#[case("host", "/urgent/deep/00", Some(("deep", "00")))]
+#[case("other", "/urgent/00", None)]
+#[case("host", "/none/00", None)]
+fn the_longest_prefix_names_the_queue(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] found: Option<(&str, &str)>,
+) {
+    let mut document = document();
+    let deep = Queue { name: "deep".into(), prefix: "/urgent/deep/".into(), ..document.queues[0].clone() };
+    document.queues.push(deep);
+    let queue = document.queue_at(host, path).map(|(queue, rest)| (queue.name.as_str(), rest));
+    assert_eq!(queue, found);
+}
+
+#[rstest]
+#[case("5c0e7a21d94b36f8.0.1.17", true)]
+#[case("5C0E7A21D94B36F8.0.1.17", false)]
+#[case("5c0e7a21d94b36f8.0.1", false)]
+#[case("5c0e7a21d94b36f8.0.1.17.2", false)]
+#[case("5c0e7a21d94b36f.0.1.17", false)]
+#[case("5c0e7a21d94b36f8.0.-1.17", false)]
+fn names_of_tasks_are_read_and_written(#[case] text: &str, #[case] is_valid: bool) {
+    let read = Name::parse(text);
+    assert_eq!(read.map(|name| name.to_string()), is_valid.then(|| text.to_string()));
+}
--- /dev/null
+++ b/tests/load_gangs.rs
@@ -0,0 +1,95 @@
+//! Large gangs beside small work: where gangs go and what they wait for.
+
+mod support;
+
+use eelgrassvalve::batch::job::Step;
+use rstest::rstest;
+use support::batch::{Desk, gang, name, step};
+
+#[test]
+fn a_gang_gets_all_places_or_none() {
+    let mut desk = Desk::with_workers(3);
+    desk.submit(1, "large", vec![gang(4)]);
+    assert!(desk.round().round.starts.is_empty());
+    desk.hear("w3", |_| {});
+    let plan = desk.round();
+    assert_eq!(plan.round.starts.len(), 4);
+    assert!(plan.round.starts.iter().all(|start| start.run == 1));
+}
+
+#[test]
+fn a_rack_local_gang_waits_for_one_rack() {
+    let mut desk = Desk::with_workers(8);
+    desk.submit(1, "small", vec![Step { per_worker: 1, ..step(1) }]);
+    desk.round();
+    // One worker of each rack is in use: no rack has four whole ones.
+    desk.submit(2, "small", vec![Step { data_rack: "r1".into(), ..step(1) }]);
+    desk.round();
+    desk.hear_all(8);
+    desk.submit(3, "large", vec![Step { is_rack_local: true, ..gang(4) }]);
+    desk.now_ms += 100;
+    assert!(desk.round().round.starts.is_empty());
+    desk.submit(4, "large", vec![Step { is_rack_local: true, ..gang(3) }]);
+    let plan = desk.round();
+    assert_eq!(plan.round.starts.len(), 3);
+}
+
+#[test]
+fn small_tasks_fill_the_fullest_worker_so_that_others_stay_whole() {
+    let mut desk = Desk::with_workers(4);
+    for job in 1..=8 {
+        desk.submit(job, "small", vec![step(1)]);
+        desk.round();
+        desk.hear_all(4);
+    }
+    let mut workers: Vec<_> = (1..=8).filter_map(|job| desk.worker_of(name(job, 0, 0))).collect();
+    workers.dedup();
+    assert_eq!(workers.len(), 1, "{workers:?}");
+    desk.submit(9, "large", vec![gang(3)]);
+    assert_eq!(desk.round().round.starts.len(), 3);
+}
+
+#[rstest]
+#[case::near("r1", "r1")]
+#[case::no_such_rack("r9", "r0")]
+fn tasks_go_to_the_rack_of_their_data(#[case] data: &str, #[case] expected: &str) {
+    let mut desk = Desk::with_workers(8);
+    desk.submit(1, "large", vec![Step { data_rack: data.into(), ..step(1) }]);
+    desk.round();
+    let worker = desk.worker_of(name(1, 0, 0)).expect("is placed");
+    let rack = desk.fleet.session(&worker).map(|session| session.beat.rack.clone());
+    assert_eq!(rack.as_deref(), Some(expected));
+}
+
+#[test]
+fn room_for_a_gang_is_held_back_from_less_urgent_work() {
+    let mut desk = Desk::with_workers(4);
+    desk.submit(1, "small", vec![Step { per_worker: 1, ..step(1) }]);
+    desk.round();
+    desk.hear_all(4);
+    desk.submit(2, "large", vec![gang(4)]);
+    desk.submit(3, "small", vec![step(24)]);
+    let plan = desk.round();
+    let on_whole = plan.round.starts.iter().filter(|start| start.worker != "w0").count();
+    assert_eq!(on_whole, 0, "the three whole workers wait for the fourth");
+}
+
+#[rstest]
+#[case::bound_of_two(2, 4)]
+#[case::no_bound(0, 6)]
+fn no_worker_takes_more_tasks_of_a_step_than_allowed(#[case] bound: u32, #[case] placed: usize) {
+    let mut desk = Desk::with_workers(2);
+    desk.submit(1, "small", vec![Step { per_worker: bound, ..step(6) }]);
+    assert_eq!(desk.round().round.starts.len(), placed);
+    desk.hear_all(2);
+    assert_eq!(desk.round().round.starts.len(), 0, "those that run count too");
+}
+
+#[rstest]
+#[case::has_it("a", 1)]
+#[case::has_not("b", 0)]
+fn a_label_is_needed(#[case] label: &str, #[case] placed: usize) {
+    let mut desk = Desk::with_workers(2);
+    desk.submit(1, "small", vec![Step { label: label.into(), ..step(1) }]);
+    assert_eq!(desk.round().round.starts.len(), placed);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod batch;
 pub mod cluster;
 pub mod history;
 pub mod hostile;
