--- a/src/batch/plan/seat.rs
+++ b/src/batch/plan/seat.rs
@@ -12,7 +12,7 @@
 /// Use of a pool below which a step that waited goes away from its data.
 const IDLE: f64 = 0.5;
 /// Use of a pool below which a step goes away from its data where it still ends on time.
-const ROOMY: f64 = 0.8;
+const ROOMY: f64 = 0.5;
 
 /// Seats that were found.
 #[derive(Debug, Default)]
