Sick and slow workers: two failures in a row, runs far slower than others of their step; guarantees pay too until they are due

Cause: on the calm rolling stop one urgent gang of eight accelerators a task stopped 40 small runs, each failed task took its worker out for 1.5 s though 2 to 5% fail by their own fault, and a slow worker held its whole gang back.

--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -77,6 +77,10 @@
     pub verdicts: Vec<Verdict>,
     /// Candidates that wait.
     pub waiting: usize,
+    /// Of these, the ones that are too late to be of use.
+    pub hopeless: usize,
+    /// Share of each pool's accelerators (or cores, where it has none) that is in use.
+    pub used: BTreeMap<String, f64>,
 }
 
 /// What a planner remembers between decisions.
@@ -151,6 +155,8 @@
         let mut failed = BTreeSet::new();
         let candidates = candidates(&view);
         self.forget(view.now_ms, &candidates);
+        plan.hopeless = candidates.iter().filter(|candidate| candidate.is_hopeless).count();
+        plan.used.clone_from(&board.used);
         for candidate in &candidates {
             let shape = candidate.shape();
             if failed.contains(&shape) && !self.claims.contains_key(&candidate.key) {
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -75,10 +75,13 @@
             return false;
         }
         let latest_start_ms = self.objective_ms.saturating_sub(self.rest_ms + EVICTION_MS);
-        let is_pressed = view.wall_ms >= latest_start_ms;
+        view.wall_ms >= latest_start_ms || self.must_begin(view)
+    }
+
+    /// Whether its customer's guarantee is due, whatever that costs others.
+    pub fn must_begin(&self, view: &View<'_>) -> bool {
         let reclaim_ms = view.times.reclaim_ms.saturating_sub(3 * EVICTION_MS);
-        let must_begin = self.is_guaranteed && self.waited_ms >= reclaim_ms;
-        is_pressed || must_begin
+        self.is_guaranteed && self.waited_ms >= reclaim_ms
     }
 }
 
--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -13,7 +13,7 @@
 /// Cost of making a job late that would have been on time, in core-milliseconds: about what its
 /// tasks use of a worker in ten seconds.
 const LATE_COST: u64 = 800_000;
-/// Most that an urgent job which nothing guarantees may cost others, in core-milliseconds: what
+/// Most that an urgent job may cost others before its guarantee is due, in core-milliseconds: what
 /// one such job is worth, next to work that is done in vain.
 const WORTH: u64 = 1_200_000;
 
@@ -82,7 +82,7 @@
             }
         }
         let (cost, slots) = best?;
-        if cost > WORTH && !candidate.is_guaranteed {
+        if cost > WORTH && !candidate.must_begin(&view) {
             return None;
         }
         let mut seats = BTreeMap::new();
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::sync::{Notify, watch};
@@ -39,6 +40,8 @@
 const NEXT_MS: u64 = 20;
 /// Wait of a worker whose next end is near, in milliseconds; the end begins a heartbeat at once.
 const NEAR_END_MS: u64 = 150;
+/// Between two log lines about the load, in milliseconds.
+const LOAD_MS: u64 = 1_000;
 /// Silence of a voter after which a caught-up learner takes its place, in milliseconds: longer
 /// than a restart, shorter than the time after which the next loss must be borne.
 const REPLACE_MS: u64 = 2_500;
@@ -50,6 +53,7 @@
     desk: Table<Desk>,
     changed: Notify,
     rounds: watch::Sender<u64>,
+    load_logged_ms: AtomicU64,
     times: Times,
     lease_ms: u64,
     losses: usize,
@@ -71,6 +75,7 @@
             desk: Table::new(Rank::Desk, Desk::default()),
             changed: Notify::new(),
             rounds: watch::Sender::new(0),
+            load_logged_ms: AtomicU64::new(0),
             times: settings.batch.times,
             lease_ms: settings.times.worker_lease_ms,
             losses: settings.batch.losses,
@@ -361,6 +366,7 @@
     }
     let begun = std::time::Instant::now();
     let plan = decide(control);
+    log_load(control, &plan);
     Metrics::global().record_placement(begun.elapsed().as_secs_f64());
     if !plan.round.is_empty() {
         log_plan(&plan);
@@ -398,9 +404,10 @@
     let mut desk = control.dispatch.desk.lock();
     let Desk { fleet, planner, estimates, .. } = &mut *desk;
     let stuck = fleet.stuck(&machine.batch, now_ms);
-    for (name, _) in &stuck {
+    let slow = fleet.laggards(&machine.batch, wall_ms());
+    for (name, _) in stuck.iter().chain(&slow) {
         if let Some(run) = machine.batch.active(name) {
-            fleet.strike(&run.worker, now_ms);
+            fleet.exclude(&run.worker, now_ms);
         }
     }
     let view = View {
@@ -416,9 +423,28 @@
         tracing::info!(target: DECISION, task = %name, run, "run makes no progress and is stopped");
         plan.round.stops.push((name, run));
     }
+    for (name, run) in slow {
+        tracing::info!(target: DECISION, task = %name, run, "run is far slower than others of its step and is stopped");
+        plan.round.stops.push((name, run));
+    }
     plan
 }
 
+// One line a second, however many rounds there are.
+fn log_load(control: &Control, plan: &Plan) {
+    let now_ms = control.timer.now_ms();
+    let last_ms = control.dispatch.load_logged_ms.load(Ordering::Relaxed);
+    if plan.waiting == 0 || now_ms < last_ms + LOAD_MS {
+        return;
+    }
+    control.dispatch.load_logged_ms.store(now_ms, Ordering::Relaxed);
+    let (waiting, hopeless) = (plan.waiting, plan.hopeless);
+    for (pool, used) in &plan.used {
+        let used = (used * 100.0) as u64;
+        tracing::info!(target: DECISION, pool, used_percent = used, waiting, hopeless, "load");
+    }
+}
+
 fn stopping_on(control: &Control, round: &Round) -> BTreeSet<String> {
     let machine = control.machine.lock();
     let runs = round.stops.iter().filter_map(|(name, _)| machine.batch.active(name));
