--- a/src/batch/call.rs
+++ b/src/batch/call.rs
@@ -56,6 +56,21 @@
 }
 
 impl Request {
+    /// What a log line calls the request: its verb, and the path, worker or daemon that it is about.
+    pub fn subject(&self) -> (&'static str, &str) {
+        match self {
+            Self::Submit { target, .. } => ("submit", &target.path),
+            Self::Status(target) => ("status", &target.path),
+            Self::Cancel(target) => ("cancel", &target.path),
+            Self::Beat(beat) => ("heartbeat", &beat.worker),
+            Self::Leave { worker } => ("leave", worker),
+            Self::Publish(_) => ("publish", ""),
+            Self::Document => ("document", ""),
+            Self::Standing => ("standing", ""),
+            Self::Join { name, .. } => ("join", name),
+        }
+    }
+
     /// Whether the request orders a durable change, so that an unanswered one may have run.
     pub fn is_durable(&self) -> bool {
         matches!(self, Self::Submit { .. } | Self::Cancel(_) | Self::Publish(_))
--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -7,7 +7,7 @@
 
 use super::job::{Demand, Name, State};
 use super::table::{End, Table};
-use super::worker::{Beat, How, Orders, Running, Start};
+use super::worker::{Beat, How, Orders, Start};
 
 /// Largest deviation of a worker's clock, as a divisor: 2% slow, and as much again in reserve.
 const DRIFT: u64 = 25;
@@ -19,15 +19,6 @@
 const STUCK_MS: u64 = 2_500;
 /// Failed runs in a row after which a worker counts as sick.
 const FAILURES: u32 = 2;
-/// Runs of a step that must be seen before one of them counts as slow.
-const COMPARED: usize = 3;
-/// Share of the usual progress of its step below which a run is slow: workers differ by a half at
-/// most while they are sound.
-const SLOW: f64 = 0.4;
-/// Time that a stop and a new start take, in milliseconds.
-const RESTART_MS: f64 = 1_000.0;
-/// Run time before progress is compared, in milliseconds.
-const COMPARE_MS: u64 = 1_500;
 /// Run time below which hardly any task ends, in milliseconds.
 const EARLY_MS: u64 = 1_000;
 /// First exclusion of a worker that failed or stalled a run, in milliseconds; it doubles.
@@ -93,32 +84,6 @@
     moved_ms: u64,
 }
 
-/// How fast a run goes.
-#[derive(Clone, Copy, Debug)]
-struct Pace {
-    task: Name,
-    run: u32,
-    // Percent a millisecond.
-    rate: f64,
-    // Percent that are left.
-    left: f64,
-}
-
-// Runs away from their data are slow for another reason, and resumed ones began with a part done.
-fn pace(session: &Session, row: &Running, table: &Table, wall_ms: u64) -> Option<Pace> {
-    let run = table.active(&row.task).filter(|run| run.number == row.run && !run.is_stopping)?;
-    let job = table.live.get(&row.task.job)?;
-    let step = job.spec.steps.get(row.task.step as usize)?;
-    let is_away = !step.data_rack.is_empty() && step.data_rack != session.beat.rack;
-    let is_resumed = job.task(&row.task).is_some_and(|task| !task.checkpoint.is_empty());
-    let ran_ms = wall_ms.saturating_sub(run.placed_ms);
-    if step.is_lasting || is_away || is_resumed || row.percent >= 100 || ran_ms < COMPARE_MS {
-        return None;
-    }
-    let rate = f64::from(row.percent) / ran_ms as f64;
-    Some(Pace { task: row.task, run: row.run, rate, left: 100.0 - f64::from(row.percent) })
-}
-
 /// A worker that may take work, with the room that is left on it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Place {
@@ -243,36 +208,7 @@
         stuck
     }
 
-    /// Runs that go far slower than others of their step, on workers that others beat: worth a
-    /// stop, since a new run elsewhere would end sooner.
-    pub fn laggards(&self, table: &Table, wall_ms: u64) -> Vec<(Name, u32)> {
-        let mut steps: BTreeMap<_, Vec<Pace>> = BTreeMap::new();
-        for session in self.sessions.values() {
-            for row in &session.beat.running {
-                let Some(pace) = pace(session, row, table, wall_ms) else { continue };
-                let key = (row.task.job, row.task.occurrence, row.task.step);
-                steps.entry(key).or_default().push(pace);
-            }
-        }
-        let mut found = Vec::new();
-        for paces in steps.values_mut() {
-            if paces.len() < COMPARED {
-                continue;
-            }
-            paces.sort_by(|one, other| one.rate.total_cmp(&other.rate));
-            let usual = paces[paces.len() / 2].rate;
-            let whole_ms = 100.0 / usual;
-            for pace in paces.iter() {
-                let left_ms = pace.left / pace.rate.max(f64::MIN_POSITIVE);
-                if pace.rate < usual * SLOW && left_ms > whole_ms + RESTART_MS {
-                    found.push((pace.task, pace.run));
-                }
-            }
-        }
-        found
-    }
-
-    /// Gives a worker no work for a while, since a run on it is stuck or far too slow.
+    /// Gives a worker no work for a while, since a run on it is stuck.
     pub fn exclude(&mut self, worker: &str, now_ms: u64) {
         if let Some(session) = self.sessions.get_mut(worker) {
             session.health.exclude(now_ms);
@@ -333,8 +269,9 @@
             return orders;
         }
         for (name, run) in table.placed_on(worker) {
-            let is_known = beat.running.iter().any(|row| row.task == *name && row.run == run.number)
-                || beat.ended.iter().any(|end| end.task == *name && end.run == run.number);
+            let is_known =
+                beat.running.iter().any(|row| row.task == *name && row.run == run.number)
+                    || beat.ended.iter().any(|end| end.task == *name && end.run == run.number);
             if is_known || run.is_stopping || run.incarnation != beat.incarnation {
                 continue;
             }
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -19,7 +19,18 @@
 
 /// Identity of a job, chosen by its caller: 16 hexadecimal digits.
 #[derive(
-    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
 )]
 #[display("{_0:016x}")]
 pub struct Id(pub u64);
@@ -27,7 +38,8 @@
 impl Id {
     /// Parses the displayed form.
     pub fn parse(text: &str) -> Option<Self> {
-        let plain = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+        let plain =
+            text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
         if !plain {
             return None;
         }
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -217,4 +217,3 @@
     let Some(customer) = view.table.document.customer(&job.customer) else { return false };
     claimed.get(job.customer.as_str()).is_some_and(|all| *all <= customer.guaranteed.into())
 }
-
--- a/src/batch/plan/seat.rs
+++ b/src/batch/plan/seat.rs
@@ -44,7 +44,8 @@
             return Seats { places, reason: "near its data" };
         }
         // A rack that has no worker at all won't get room by waiting.
-        let exists = board.places.iter().any(|place| place.pool == *pool && place.rack == step.data_rack);
+        let exists =
+            board.places.iter().any(|place| place.pool == *pool && place.rack == step.data_rack);
         if exists && !may_go_far(board, candidate) {
             return Seats::default();
         }
@@ -70,7 +71,10 @@
 
 /// Workers on which room for a gang is held back from less urgent work: those of the rack that
 /// comes nearest to holding it.
-pub(super) fn reserve(board: &Board<'_>, candidate: &Candidate<'_>) -> Option<BTreeMap<String, u64>> {
+pub(super) fn reserve(
+    board: &Board<'_>,
+    candidate: &Candidate<'_>,
+) -> Option<BTreeMap<String, u64>> {
     let mut best: Option<Vec<(usize, u64)>> = None;
     for (key, members) in &board.racks {
         let is_near = candidate.step.data_rack.is_empty() || key.1 == candidate.step.data_rack;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod completions;
 mod config;
 mod drain;
+pub mod explain;
 mod job;
 mod listing;
 mod load;
@@ -97,6 +98,7 @@
             Box::new(request::Request),
             Box::new(load::Load),
             Box::new(drain::Drain),
+            Box::new(explain::Explain),
             Box::new(completions::Completions { of: tool }),
         ],
     }
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -89,7 +89,12 @@
     ///
     /// # Errors
     /// As for [`Mesh::call`].
-    pub async fn ask(&self, daemon: &str, request: batch::Request, within: Duration) -> Result<Answer> {
+    pub async fn ask(
+        &self,
+        daemon: &str,
+        request: batch::Request,
+        within: Duration,
+    ) -> Result<Answer> {
         self.call_one(daemon, Call::Batch(Box::new(request)), within).await
     }
 
@@ -99,7 +104,8 @@
     /// The leader's refusal, or `no_quorum` with the verdict that the sends allow.
     pub async fn call(&self, call: Call, within: Duration) -> Result<Answer> {
         let until_ms = self.timer.now_ms() + within.as_millis() as u64;
-        let untried_until_ms = self.timer.now_ms().saturating_add(untried(&call).as_millis() as u64);
+        let untried_until_ms =
+            self.timer.now_ms().saturating_add(untried(&call).as_millis() as u64);
         let mut verdict = Verdict::NotRun;
         let mut turn = 0;
         loop {
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{Notify, watch};
 
@@ -85,6 +85,14 @@
 
 /// Answers a request at the leader.
 pub(super) async fn answer(control: &Control, request: Request) -> Result<Answer> {
+    let answer = route(control, request).await;
+    if let Err(error) = &answer {
+        Metrics::global().count_refusal(error.code);
+    }
+    answer
+}
+
+async fn route(control: &Control, request: Request) -> Result<Answer> {
     match request {
         Request::Submit { target, spec } => submit(control, &target, spec).await,
         Request::Status(target) => status(control, &target).await,
@@ -111,7 +119,7 @@
     spec: std::result::Result<Spec, String>,
 ) -> Result<Answer> {
     control.group.read().await?;
-    let submission = {
+    let (submission, revision) = {
         let machine = control.machine.lock();
         let (queue, rest, customer) = authorize(&machine.batch.document, target)?;
         let id = job_id(rest)?;
@@ -122,18 +130,14 @@
         if let Some(fault) = spec.fault() {
             return Err(Error::not_run(Code::BadRequest, fault));
         }
-        Submission {
-            id,
-            queue: queue.name.clone(),
-            customer,
-            terms: queue.terms.clone(),
-            spec,
-        }
+        let (queue, terms) = (queue.name.clone(), queue.terms.clone());
+        (Submission { id, queue, customer, terms, spec }, machine.batch.document.revision)
     };
     let (id, queue) = (submission.id, submission.queue.clone());
     let steps = submission.spec.steps.len();
     propose(control, Batch::Submit(Box::new(submission))).await?;
-    tracing::info!(target: DECISION, job = %id, queue, steps, "job accepted");
+    tracing::info!(target: DECISION, job = %id, queue, steps, revision, "job accepted");
+    Metrics::global().count_job("accepted");
     control.dispatch.changed.notify_one();
     Ok(Answer::Phase(crate::batch::job::Phase::Queued))
 }
@@ -164,6 +168,7 @@
     };
     propose(control, Batch::Cancel(id)).await?;
     tracing::info!(target: DECISION, job = %id, "job cancelled");
+    Metrics::global().count_job("cancelled");
     control.dispatch.changed.notify_one();
     Ok(Answer::Done)
 }
@@ -171,7 +176,8 @@
 async fn publish(control: &Control, document: Box<Document>) -> Result<Answer> {
     let faults = document.faults();
     if !faults.is_empty() {
-        let all: Vec<String> = faults.iter().map(|f| format!("{}: {}", f.path, f.message)).collect();
+        let all: Vec<String> =
+            faults.iter().map(|f| format!("{}: {}", f.path, f.message)).collect();
         return Err(Error::not_run(Code::Unsatisfiable, all.join("; ")));
     }
     control.group.read().await?;
@@ -233,6 +239,7 @@
     orders.next_ms = if hold_ms.is_some() { NEXT_MS } else { NEAR_END_MS };
     orders.leader = control.settings.name.clone();
     log_orders(&worker, &orders);
+    Metrics::global().record_beat((control.timer.now_ms() - now_ms) as f64 / 1_000.0);
     Ok(Answer::Orders(Box::new(orders)))
 }
 
@@ -311,7 +318,9 @@
 }
 
 async fn propose(control: &Control, command: Batch) -> Result<()> {
+    let begun = Instant::now();
     control.group.propose(Command::Batch(command), COMMIT).await?;
+    Metrics::global().record_commit(begun.elapsed().as_secs_f64());
     Ok(())
 }
 
@@ -320,7 +329,8 @@
     fn renew(&mut self, control: &Control) {
         let term = control.standing().term;
         if self.term != term {
-            *self = Self { term, estimates: std::mem::take(&mut self.estimates), ..Self::default() };
+            *self =
+                Self { term, estimates: std::mem::take(&mut self.estimates), ..Self::default() };
         }
     }
 
@@ -362,14 +372,17 @@
     let news = gather(control);
     if !news.is_empty() {
         log_ends(control, &news);
+        let jobs: BTreeSet<Id> = news.ends.iter().map(|end| end.task.job).collect();
         propose(control, Batch::Round(news)).await?;
+        log_outcomes(control, &jobs);
     }
-    let begun = std::time::Instant::now();
+    let begun = Instant::now();
     let plan = decide(control);
     log_load(control, &plan);
     Metrics::global().record_placement(begun.elapsed().as_secs_f64());
+    Metrics::global().set_steps_waiting(plan.waiting as u64);
     if !plan.round.is_empty() {
-        log_plan(&plan);
+        log_plan(control, &plan);
         touched.extend(plan.round.starts.iter().map(|start| start.worker.clone()));
         touched.extend(stopping_on(control, &plan.round));
         propose(control, Batch::Round(plan.round)).await?;
@@ -404,8 +417,7 @@
     let mut desk = control.dispatch.desk.lock();
     let Desk { fleet, planner, estimates, .. } = &mut *desk;
     let stuck = fleet.stuck(&machine.batch, now_ms);
-    let slow = fleet.laggards(&machine.batch, wall_ms());
-    for (name, _) in stuck.iter().chain(&slow) {
+    for (name, _) in &stuck {
         if let Some(run) = machine.batch.active(name) {
             fleet.exclude(&run.worker, now_ms);
         }
@@ -423,10 +435,6 @@
         tracing::info!(target: DECISION, task = %name, run, "run makes no progress and is stopped");
         plan.round.stops.push((name, run));
     }
-    for (name, run) in slow {
-        tracing::info!(target: DECISION, task = %name, run, "run is far slower than others of its step and is stopped");
-        plan.round.stops.push((name, run));
-    }
     plan
 }
 
@@ -458,10 +466,26 @@
         let (task, how, worker) = (end.task, end.how, &run.worker);
         let took_ms = wall_ms().saturating_sub(run.placed_ms);
         tracing::info!(target: DECISION, %task, run = end.run, %how, worker, took_ms, "run ended");
+        Metrics::global().count_run(how);
+    }
+}
+
+// One line for each job that these ends ended.
+fn log_outcomes(control: &Control, jobs: &BTreeSet<Id>) {
+    let machine = control.machine.lock();
+    for id in jobs {
+        let Some(job) = machine.batch.ended.get(id) else { continue };
+        let (phase, queue) = (job.phase(), &job.queue);
+        let took_ms = job.ended_ms.saturating_sub(job.accepted_ms);
+        tracing::info!(target: DECISION, job = %id, queue, %phase, took_ms, "job ended");
+        Metrics::global().count_job(&phase.to_string());
+        Metrics::global().record_completion(took_ms as f64 / 1_000.0);
     }
 }
 
-fn log_plan(plan: &Plan) {
+fn log_plan(control: &Control, plan: &Plan) {
+    note_first_starts(control, plan);
+    Metrics::global().count_evictions(plan.verdicts.iter().map(|v| v.evicted as u64).sum());
     for verdict in &plan.verdicts {
         let (job, occurrence, step) = verdict.key;
         let (seated, evicted, reason) = (verdict.seated, verdict.evicted, verdict.reason);
@@ -470,6 +494,18 @@
     }
 }
 
+fn note_first_starts(control: &Control, plan: &Plan) {
+    let machine = control.machine.lock();
+    let jobs: BTreeSet<Id> = plan.round.starts.iter().map(|start| start.task.job).collect();
+    for id in jobs {
+        let Some(job) = machine.batch.live.get(&id).filter(|job| !job.has_started) else {
+            continue;
+        };
+        let waited_ms = wall_ms().saturating_sub(job.accepted_ms);
+        Metrics::global().record_first_start(waited_ms as f64 / 1_000.0);
+    }
+}
+
 async fn join(control: &Control, name: &str, id: MemberId) -> Result<Answer> {
     let standing = control.standing();
     if standing.members.iter().any(|member| member.id == id.to_string()) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,9 +1,9 @@
 //! Control members: the replicated state and the leader's duties.
 
 pub mod client;
+mod dispatch;
 pub mod fleet;
 pub mod gang;
-mod dispatch;
 mod group;
 pub mod lease;
 mod scheduler;
--- a/src/mesh/find.rs
+++ b/src/mesh/find.rs
@@ -64,7 +64,8 @@
                 is_control: true,
                 platform: None,
             };
-            let (mesh, key, receiver) = (self.mesh.clone(), self.key.clone(), self.receiver.clone());
+            let (mesh, key, receiver) =
+                (self.mesh.clone(), self.key.clone(), self.receiver.clone());
             let task = tokio::spawn(link::dial_once(mesh, peer, key, receiver));
             self.dialling.insert(*address, task);
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,6 +20,7 @@
 use crate::replica::member::{Id, Members};
 use crate::replica::store::Store;
 use crate::settings::Settings;
+use crate::telemetry::DECISION;
 
 /// Between two questions for the leader and the members.
 const ASK: Duration = Duration::from_millis(500);
@@ -122,9 +123,18 @@
     /// # Errors
     /// The leader's refusal, or `no_quorum` with the verdict that the sends allow.
     pub async fn call(&self, request: Request, within: Duration) -> Result<Answer> {
+        let begun_ms = self.timer.now_ms();
+        let (verb, subject) = request.subject();
+        let subject = subject.to_string();
         let answer = self.client.batch(request, within).await;
-        if answer.is_ok() {
-            *self.answered_ms.lock() = Some(self.timer.now_ms());
+        let now_ms = self.timer.now_ms();
+        match &answer {
+            Ok(_) => *self.answered_ms.lock() = Some(now_ms),
+            Err(error) => {
+                let (took_ms, leader) = (now_ms - begun_ms, self.client.leader());
+                let (code, verdict) = (error.code, error.verdict);
+                tracing::info!(target: DECISION, verb, subject, %code, %verdict, took_ms, leader, reason = error.message, "request refused");
+            }
         }
         answer
     }
@@ -189,8 +199,7 @@
     async fn join(&self) {
         let Some(control) = &self.control else { return };
         let id = self.mesh.own().id;
-        let is_member =
-            control.standing().members.iter().any(|member| member.id == id.to_string());
+        let is_member = control.standing().members.iter().any(|member| member.id == id.to_string());
         if is_member && control.standing().leader_name.is_some() {
             return;
         }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -8,9 +8,20 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use tracing_subscriber::EnvFilter;
+use tracing_subscriber::layer::{Layer, SubscriberExt};
+use tracing_subscriber::util::SubscriberInitExt;
 
+mod budget;
+
+use crate::batch::worker::How;
+use crate::error::Code;
 use crate::settings::LogFormat;
 use crate::verdict::Verdict;
+pub use budget::Budget;
+
+/// Lines a second of one kind; further ones are dropped and counted. Twice what the largest
+/// deployment places in an ordinary second.
+const LINES_A_SECOND: u64 = 400;
 
 /// Lines of the log that wait to be written; further ones are dropped.
 const LINES: usize = 4_096;
@@ -41,9 +52,10 @@
     let (writer, guard) = builder.lossy(true).buffered_lines_limit(LINES).finish(std::io::stdout());
     let filter = EnvFilter::try_from_env("EELGRASSVALVE_LOG")
         .unwrap_or_else(|_| EnvFilter::new("info,volo_http=warn"));
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer);
+    let lines = tracing_subscriber::fmt::layer().json().flatten_event(true).with_writer(writer);
+    let lines = lines.with_filter(Budget::new(LINES_A_SECOND));
     // A second daemon in the same process shares the first one's log.
-    let _ = builder.json().flatten_event(true).try_init();
+    let _ = tracing_subscriber::registry().with(filter).with(lines).try_init();
     guard
 }
 
@@ -62,6 +74,16 @@
     lease_age: Gauge<u64>,
     placement_time: Histogram<f64>,
     mesh_bytes: Counter<u64>,
+    jobs: Counter<u64>,
+    runs: Counter<u64>,
+    evictions: Counter<u64>,
+    refusals: Counter<u64>,
+    log_dropped: Counter<u64>,
+    steps_waiting: Gauge<u64>,
+    first_start: Histogram<f64>,
+    completion: Histogram<f64>,
+    commit_time: Histogram<f64>,
+    beat_time: Histogram<f64>,
 }
 
 impl Metrics {
@@ -89,6 +111,16 @@
             lease_age: meter.u64_gauge("eelgrassvalve_lease_age_ms").build(),
             placement_time: meter.f64_histogram("eelgrassvalve_placement_seconds").build(),
             mesh_bytes: meter.u64_counter("eelgrassvalve_mesh_sent_bytes").build(),
+            jobs: meter.u64_counter("eelgrassvalve_batch_jobs").build(),
+            runs: meter.u64_counter("eelgrassvalve_batch_runs_ended").build(),
+            evictions: meter.u64_counter("eelgrassvalve_batch_evictions").build(),
+            refusals: meter.u64_counter("eelgrassvalve_batch_refusals").build(),
+            log_dropped: meter.u64_counter("eelgrassvalve_log_lines_dropped").build(),
+            steps_waiting: meter.u64_gauge("eelgrassvalve_batch_steps_waiting").build(),
+            first_start: meter.f64_histogram("eelgrassvalve_batch_first_start_seconds").build(),
+            completion: meter.f64_histogram("eelgrassvalve_batch_completion_seconds").build(),
+            commit_time: meter.f64_histogram("eelgrassvalve_commit_seconds").build(),
+            beat_time: meter.f64_histogram("eelgrassvalve_heartbeat_seconds").build(),
             registry,
             _provider: provider,
         }
@@ -127,6 +159,56 @@
         self.elections.add(1, &[]);
     }
 
+    /// Counts a batch job that was accepted or has ended: `accepted`, `completed`, and so on.
+    pub fn count_job(&self, event: &str) {
+        self.jobs.add(1, &[KeyValue::new("event", event.to_string())]);
+    }
+
+    /// Counts a run that ended.
+    pub fn count_run(&self, how: How) {
+        self.runs.add(1, &[KeyValue::new("how", how.to_string())]);
+    }
+
+    /// Counts runs that are stopped for more urgent ones.
+    pub fn count_evictions(&self, count: u64) {
+        self.evictions.add(count, &[]);
+    }
+
+    /// Counts a batch request that was refused.
+    pub fn count_refusal(&self, code: Code) {
+        self.refusals.add(1, &[KeyValue::new("code", code.to_string())]);
+    }
+
+    /// Counts lines that the log's budget kept out.
+    pub fn count_dropped_lines(&self, count: u64) {
+        self.log_dropped.add(count, &[]);
+    }
+
+    /// Sets the number of steps that wait for a place.
+    pub fn set_steps_waiting(&self, count: u64) {
+        self.steps_waiting.record(count, &[]);
+    }
+
+    /// Records the time from a job's acceptance to its first start, in seconds.
+    pub fn record_first_start(&self, seconds: f64) {
+        self.first_start.record(seconds, &[]);
+    }
+
+    /// Records the time from a job's acceptance to its completion, in seconds.
+    pub fn record_completion(&self, seconds: f64) {
+        self.completion.record(seconds, &[]);
+    }
+
+    /// Records the time until a change was committed, in seconds.
+    pub fn record_commit(&self, seconds: f64) {
+        self.commit_time.record(seconds, &[]);
+    }
+
+    /// Records the time until a worker's heartbeat was answered, its hold included, in seconds.
+    pub fn record_beat(&self, seconds: f64) {
+        self.beat_time.record(seconds, &[]);
+    }
+
     /// Counts bytes sent to other daemons.
     pub fn count_mesh_bytes(&self, bytes: u64) {
         self.mesh_bytes.add(bytes, &[]);
