--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -15,7 +15,7 @@
 const LATE_COST: u64 = 800_000;
 /// Most that an urgent job may cost others before its guarantee is due, in core-milliseconds: what
 /// one such job is worth, next to work that is done in vain.
-const WORTH: u64 = 1_200_000;
+const WORTH: u64 = 400_000;
 
 /// Runs to stop, and the seats that they free together with what is free already.
 #[derive(Debug)]
