--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -63,7 +63,7 @@
     /// Tasks that got seats.
     pub seated: usize,
     /// Runs that are stopped for it.
-    pub evicted: usize,
+    pub evicted: Vec<(Name, u32)>,
     /// Outcome in words.
     pub reason: &'static str,
 }
@@ -185,7 +185,7 @@
                     let verdict = Verdict {
                         key: candidate.key,
                         seated: 0,
-                        evicted: found.victims.len(),
+                        evicted: found.victims.clone(),
                         reason: "stops less urgent runs",
                     };
                     plan.verdicts.push(verdict);
@@ -231,7 +231,12 @@
         }
     }
     let reason = seats.reason;
-    plan.verdicts.push(Verdict { key: candidate.key, seated: seats.count(), evicted: 0, reason });
+    plan.verdicts.push(Verdict {
+        key: candidate.key,
+        seated: seats.count(),
+        evicted: Vec::new(),
+        reason,
+    });
 }
 
 fn hold_back(board: &mut Board<'_>, candidate: &Candidate<'_>, seats: &BTreeMap<String, u64>) {
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -485,10 +485,13 @@
 
 fn log_plan(control: &Control, plan: &Plan) {
     note_first_starts(control, plan);
-    Metrics::global().count_evictions(plan.verdicts.iter().map(|v| v.evicted as u64).sum());
+    Metrics::global().count_evictions(plan.verdicts.iter().map(|v| v.evicted.len() as u64).sum());
     for verdict in &plan.verdicts {
         let (job, occurrence, step) = verdict.key;
-        let (seated, evicted, reason) = (verdict.seated, verdict.evicted, verdict.reason);
+        let (seated, evicted, reason) = (verdict.seated, verdict.evicted.len(), verdict.reason);
+        for (task, run) in &verdict.evicted {
+            tracing::info!(target: DECISION, %task, run, yields_to = %job, "run is stopped for a more urgent job");
+        }
         let waiting = plan.waiting;
         tracing::info!(target: DECISION, %job, occurrence, step, seated, evicted, waiting, reason, "placement");
     }
