--- a/src/batch/call.rs
+++ b/src/batch/call.rs
@@ -39,6 +39,8 @@
     Leave {
         /// Worker.
         worker: String,
+        /// Which incarnation of it, where it says so.
+        incarnation: Option<u64>,
     },
     /// Puts a document into force.
     Publish(Box<Document>),
@@ -63,7 +65,7 @@
             Self::Status(target) => ("status", &target.path),
             Self::Cancel(target) => ("cancel", &target.path),
             Self::Beat(beat) => ("heartbeat", &beat.worker),
-            Self::Leave { worker } => ("leave", worker),
+            Self::Leave { worker, .. } => ("leave", worker),
             Self::Publish(_) => ("publish", ""),
             Self::Document => ("document", ""),
             Self::Standing => ("standing", ""),
--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -13,6 +13,9 @@
 const DRIFT: u64 = 25;
 /// Reserve on top of a lease before its runs count as ended, in milliseconds: one late timer.
 const SLACK_MS: u64 = 300;
+/// Time after a worker's leave for which its last heartbeat is waited for, in milliseconds: it is
+/// sent 50 ms after an end, on a connection of its own.
+const LEAVE_MS: u64 = 400;
 /// Silence after which a worker gets no new work, in milliseconds: two missed heartbeats.
 const SILENT_MS: u64 = 2_500;
 /// Time without any progress after which a run counts as stuck, in milliseconds.
@@ -118,6 +121,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     sessions: BTreeMap<String, Session>,
+    // Workers that said they leave, and when their runs count as lost.
+    leaving: BTreeMap<String, u64>,
     // Incarnations that left; later heartbeats of them are late ones.
     left: BTreeMap<String, u64>,
 }
@@ -139,6 +144,8 @@
         let is_same = known.is_some_and(|session| session.beat.incarnation == beat.incarnation);
         let worker = beat.worker.clone();
         if !is_same {
+            // A newer incarnation of a worker that left is there to stay.
+            self.leaving.remove(&worker);
             let session = Session {
                 beat,
                 heard_ms: now_ms,
@@ -160,12 +167,28 @@
         Heard { is_stale: false, ends }
     }
 
-    /// Forgets a worker that left, and ends its runs.
-    pub fn leave(&mut self, worker: &str, table: &Table) -> Vec<End> {
-        if let Some(session) = self.sessions.remove(worker) {
-            self.left.insert(worker.to_string(), session.beat.incarnation);
+    /// Notes that a worker leaves. Its last heartbeat may still be on its way with ends: its runs
+    /// count as lost a little later.
+    pub fn leave(&mut self, worker: &str, incarnation: Option<u64>, now_ms: u64) {
+        let held = self.sessions.get(worker).map(|session| session.beat.incarnation);
+        if incarnation.zip(held).is_some_and(|(left, held)| left < held) {
+            // A late word of an earlier life.
+            return;
+        }
+        self.leaving.insert(worker.to_string(), now_ms + LEAVE_MS);
+    }
+
+    /// Forgets workers whose time after their leave is over.
+    pub fn forget_gone(&mut self, now_ms: u64) {
+        let gone = |until_ms: &u64| *until_ms <= now_ms;
+        let workers: Vec<String> =
+            self.leaving.iter().filter(|(_, at)| gone(at)).map(|(name, _)| name.clone()).collect();
+        for worker in workers {
+            self.leaving.remove(&worker);
+            if let Some(session) = self.sessions.remove(&worker) {
+                self.left.insert(worker, session.beat.incarnation);
+            }
         }
-        table.placed_on(worker).map(|(name, run)| lapsed(*name, run.number, "")).collect()
     }
 
     /// A worker as heard.
@@ -179,8 +202,8 @@
         let mut ends = Vec::new();
         for worker in table.used_workers() {
             let session = self.sessions.get(worker);
-            let until_ms = session.map_or(unheard_until_ms, |held| held.lease_until_ms);
-            if now_ms < until_ms.max(if session.is_some() { 0 } else { unheard_until_ms }) {
+            let lease_ms = session.map_or(unheard_until_ms, |held| held.lease_until_ms);
+            if now_ms < self.leaving.get(worker).copied().unwrap_or(lease_ms) {
                 continue;
             }
             for (name, run) in table.placed_on(worker) {
@@ -230,7 +253,10 @@
                 labels: beat.labels.clone(),
                 capacity: beat.capacity,
                 free: session.free(worker, table),
-                is_open: !beat.is_draining && silent_ms < SILENT_MS && !is_excluded,
+                is_open: !beat.is_draining
+                    && !self.leaving.contains_key(worker)
+                    && silent_ms < SILENT_MS
+                    && !is_excluded,
             });
         }
         places
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -98,7 +98,7 @@
         Request::Status(target) => status(control, &target).await,
         Request::Cancel(target) => cancel(control, &target).await,
         Request::Beat(beat) => beat_of(control, *beat).await,
-        Request::Leave { worker } => leave(control, &worker).await,
+        Request::Leave { worker, incarnation } => leave(control, &worker, incarnation).await,
         Request::Publish(document) => publish(control, document).await,
         Request::Document => document(control).await,
         Request::Standing => Ok(standing(control)),
@@ -278,18 +278,16 @@
     let _ = tokio::time::timeout(Duration::from_millis(STORE_MS), stored).await;
 }
 
-async fn leave(control: &Control, worker: &str) -> Result<Answer> {
+async fn leave(control: &Control, worker: &str, incarnation: Option<u64>) -> Result<Answer> {
     control.group.read().await?;
-    let count = {
+    let runs = {
         let machine = control.machine.lock();
         let mut desk = control.dispatch.desk.lock();
         desk.renew(control);
-        let ends = desk.fleet.leave(worker, &machine.batch);
-        let count = ends.len();
-        desk.ends.extend(ends);
-        count
+        desk.fleet.leave(worker, incarnation, control.timer.now_ms());
+        machine.batch.placed_on(worker).count()
     };
-    tracing::info!(target: DECISION, worker, runs = count, "worker left");
+    tracing::info!(target: DECISION, worker, runs, "worker left");
     control.dispatch.changed.notify_one();
     Ok(Answer::Done)
 }
@@ -405,6 +403,7 @@
     let since_ms = control.standing().since_ms;
     let unheard_until_ms = since_ms + lease_bound_ms(control.dispatch.lease_ms);
     ends.extend(desk.fleet.lost(&machine.batch, unheard_until_ms, now_ms));
+    desk.fleet.forget_gone(now_ms);
     ends.retain(|end| machine.batch.is_active(&end.task, end.run));
     let wall_ms = wall_ms();
     let due_ms = if machine.batch.is_due(wall_ms) { wall_ms } else { 0 };
