--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::Notify;
 
-use super::job::{Demand, Name, State};
+use super::job::{Demand, Name};
 use super::table::{End, Table};
 use super::worker::{Beat, How, Orders, Start};
 
@@ -389,35 +389,6 @@
     }
 }
 
-impl Demand {
-    /// Takes a task's share away; processor time of fillers is not counted.
-    pub fn take(&mut self, demand: &Self, is_filler: bool) {
-        if !is_filler {
-            self.cpu_milli = self.cpu_milli.saturating_sub(demand.cpu_milli);
-        }
-        self.memory_mb = self.memory_mb.saturating_sub(demand.memory_mb);
-        self.accelerators = self.accelerators.saturating_sub(demand.accelerators);
-    }
-
-    /// Gives a task's share back.
-    pub fn give(&mut self, demand: &Self, is_filler: bool) {
-        if !is_filler {
-            self.cpu_milli += demand.cpu_milli;
-        }
-        self.memory_mb += demand.memory_mb;
-        self.accelerators += demand.accelerators;
-    }
-
-    /// How many tasks of this demand fit.
-    pub fn fits(&self, demand: &Self, is_filler: bool) -> u64 {
-        let ratio = |have: u64, want: u64| have.checked_div(want).unwrap_or(u64::MAX);
-        let cpu = if is_filler { u64::MAX } else { ratio(self.cpu_milli, demand.cpu_milli) };
-        let memory = ratio(self.memory_mb, demand.memory_mb);
-        let accelerators = ratio(self.accelerators.into(), demand.accelerators.into());
-        cpu.min(memory).min(accelerators)
-    }
-}
-
 fn lapsed(task: Name, run: u32, checkpoint: &str) -> End {
     End { task, run, how: How::Lapsed, checkpoint: checkpoint.to_string() }
 }
@@ -457,9 +428,3 @@
     }
     ends
 }
-
-/// Tasks of a step that wait for a place.
-pub fn waiting(progress: &super::job::Progress) -> impl Iterator<Item = u32> {
-    let tasks = progress.tasks.iter().enumerate();
-    tasks.filter(|(_, task)| task.state == State::Waiting).map(|(index, _)| index as u32)
-}
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -85,6 +85,35 @@
     pub accelerators: u32,
 }
 
+impl Demand {
+    /// Takes a task's share away; processor time of fillers is not counted.
+    pub fn take(&mut self, demand: &Self, is_filler: bool) {
+        if !is_filler {
+            self.cpu_milli = self.cpu_milli.saturating_sub(demand.cpu_milli);
+        }
+        self.memory_mb = self.memory_mb.saturating_sub(demand.memory_mb);
+        self.accelerators = self.accelerators.saturating_sub(demand.accelerators);
+    }
+
+    /// Gives a task's share back.
+    pub fn give(&mut self, demand: &Self, is_filler: bool) {
+        if !is_filler {
+            self.cpu_milli += demand.cpu_milli;
+        }
+        self.memory_mb += demand.memory_mb;
+        self.accelerators += demand.accelerators;
+    }
+
+    /// How many tasks of this demand fit.
+    pub fn fits(&self, demand: &Self, is_filler: bool) -> u64 {
+        let ratio = |have: u64, want: u64| have.checked_div(want).unwrap_or(u64::MAX);
+        let cpu = if is_filler { u64::MAX } else { ratio(self.cpu_milli, demand.cpu_milli) };
+        let memory = ratio(self.memory_mb, demand.memory_mb);
+        let accelerators = ratio(self.accelerators.into(), demand.accelerators.into());
+        cpu.min(memory).min(accelerators)
+    }
+}
+
 /// A step as handed in.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Step {
@@ -223,6 +252,12 @@
 }
 
 impl Progress {
+    /// Tasks that wait for a place, by index.
+    pub fn waiting(&self) -> impl Iterator<Item = u32> {
+        let tasks = self.tasks.iter().enumerate();
+        tasks.filter(|(_, task)| task.state == State::Waiting).map(|(index, _)| index as u32)
+    }
+
     /// Whether every task is done.
     pub fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 
 use super::{Key, View};
-use crate::batch::fleet::waiting;
 use crate::batch::job::{Job, Occurrence, Progress, Step};
 
 /// Multiple of its objective after which a job earns its caller nothing any more.
@@ -109,7 +108,7 @@
                     continue;
                 }
                 let step = &job.spec.steps[at];
-                let tasks: Vec<u32> = waiting(progress).collect();
+                let tasks: Vec<u32> = progress.waiting().collect();
                 let is_partial = step.is_gang && tasks.len() < progress.tasks.len();
                 if tasks.is_empty() || is_partial {
                     continue;
--- /dev/null
+++ b/src/control/dispatch/caller.rs
@@ -0,0 +1,120 @@
+//! What callers and operators ask of the leader.
+
+use super::{Control, propose};
+use crate::batch::call::{Answer, Target};
+use crate::batch::document::{Document, Queue};
+use crate::batch::job::{Id, Phase, Spec};
+use crate::batch::table::{Command as Batch, Submission};
+use crate::error::{Code, Error, Result};
+use crate::telemetry::{DECISION, Metrics};
+
+pub(super) async fn submit(
+    control: &Control,
+    target: &Target,
+    spec: std::result::Result<Spec, String>,
+) -> Result<Answer> {
+    control.group.read().await?;
+    let (submission, revision) = {
+        let machine = control.machine.lock();
+        let (queue, rest, customer) = authorize(&machine.batch.document, target)?;
+        let id = job_id(rest)?;
+        if let Some(job) = machine.batch.job(id) {
+            return Ok(Answer::Phase(job.phase()));
+        }
+        let spec = spec.map_err(|message| Error::not_run(Code::BadRequest, message))?;
+        if let Some(fault) = spec.fault() {
+            return Err(Error::not_run(Code::BadRequest, fault));
+        }
+        let (queue, terms) = (queue.name.clone(), queue.terms.clone());
+        (Submission { id, queue, customer, terms, spec }, machine.batch.document.revision)
+    };
+    let (id, queue) = (submission.id, submission.queue.clone());
+    let steps = submission.spec.steps.len();
+    propose(control, Batch::Submit(Box::new(submission))).await?;
+    tracing::info!(target: DECISION, job = %id, queue, steps, revision, "job accepted");
+    Metrics::global().count_job("accepted");
+    control.dispatch.changed.notify_one();
+    Ok(Answer::Phase(Phase::Queued))
+}
+
+pub(super) async fn status(control: &Control, target: &Target) -> Result<Answer> {
+    control.group.read().await?;
+    let machine = control.machine.lock();
+    let (queue, rest, _) = authorize(&machine.batch.document, target)?;
+    if rest.is_empty() {
+        return Ok(Answer::Pending(machine.batch.pending(&queue.name)));
+    }
+    let Some(job) = job_id(rest).ok().and_then(|id| machine.batch.job(id)) else {
+        return Err(Error::not_run(Code::KeyExpired, "no such job"));
+    };
+    Ok(Answer::Phase(job.phase()))
+}
+
+pub(super) async fn cancel(control: &Control, target: &Target) -> Result<Answer> {
+    control.group.read().await?;
+    let id = {
+        let machine = control.machine.lock();
+        let (_, rest, _) = authorize(&machine.batch.document, target)?;
+        let id = job_id(rest)?;
+        if machine.batch.job(id).is_none() {
+            return Err(Error::not_run(Code::KeyExpired, "no such job"));
+        }
+        id
+    };
+    propose(control, Batch::Cancel(id)).await?;
+    tracing::info!(target: DECISION, job = %id, "job cancelled");
+    Metrics::global().count_job("cancelled");
+    control.dispatch.changed.notify_one();
+    Ok(Answer::Done)
+}
+
+pub(super) async fn publish(control: &Control, document: Box<Document>) -> Result<Answer> {
+    let faults = document.faults();
+    if !faults.is_empty() {
+        let all: Vec<String> =
+            faults.iter().map(|f| format!("{}: {}", f.path, f.message)).collect();
+        return Err(Error::not_run(Code::Unsatisfiable, all.join("; ")));
+    }
+    control.group.read().await?;
+    let revision = document.revision;
+    let held = control.machine.lock().batch.document.revision;
+    if revision > held {
+        propose(control, Batch::Publish(document)).await?;
+    }
+    tracing::info!(target: DECISION, revision, held, "document taken");
+    control.dispatch.changed.notify_one();
+    Ok(Answer::Done)
+}
+
+pub(super) async fn document(control: &Control) -> Result<Answer> {
+    control.group.read().await?;
+    let machine = control.machine.lock();
+    let document = &machine.batch.document;
+    if document.revision == 0 {
+        return Err(Error::not_run(Code::NoLease, "no document yet"));
+    }
+    Ok(Answer::Document { revision: document.revision, source: document.source.clone() })
+}
+
+fn authorize<'a, 'b>(
+    document: &'a Document,
+    target: &'b Target,
+) -> Result<(&'a Queue, &'b str, String)> {
+    if document.revision == 0 {
+        return Err(Error::not_run(Code::NoLease, "no document yet"));
+    }
+    let Some((queue, rest)) = document.queue_at(&target.host, &target.path) else {
+        return Err(Error::not_run(Code::NotFound, "no such queue"));
+    };
+    let customer = target.key.as_deref().and_then(|key| document.customer_of(key));
+    match customer {
+        Some(customer) => Ok((queue, rest, customer.name.clone())),
+        None if queue.is_open => Ok((queue, rest, String::new())),
+        None => Err(Error::not_run(Code::Unauthorized, "no known key")),
+    }
+}
+
+fn job_id(rest: &str) -> Result<Id> {
+    let id = Id::parse(rest);
+    id.ok_or_else(|| Error::not_run(Code::BadRequest, "a job's name has 16 hexadecimal digits"))
+}
--- /dev/null
+++ b/src/control/dispatch/heartbeat.rs
@@ -0,0 +1,120 @@
+//! Heartbeats of workers: heard, held, and answered with orders.
+
+use std::time::Duration;
+
+use super::{Control, Result};
+use crate::batch::call::Answer;
+use crate::batch::table::End;
+use crate::batch::worker::{Beat, Orders};
+use crate::kernel::timer::wall_ms;
+use crate::telemetry::{DECISION, Metrics};
+
+/// Longest wait of a heartbeat for the round that stores its ends: a worker drops an answer that
+/// comes later than a second after it sent the heartbeat.
+const STORE_MS: u64 = 700;
+/// Longest wait of a heartbeat for orders, bounded in the same way.
+const HOLD_MS: u64 = 600;
+/// Shortest wait that is worth holding a heartbeat for, in milliseconds.
+const HOLD_MIN_MS: u64 = 60;
+/// Part of the time until the next end during which a heartbeat is not held, in milliseconds: a
+/// held heartbeat delays the news of an end.
+const END_MARGIN_MS: u64 = 60;
+/// Wait of a worker before its next heartbeat, in milliseconds; its heartbeats are held instead.
+const NEXT_MS: u64 = 20;
+/// Wait of a worker whose next end is near, in milliseconds; the end begins a heartbeat at once.
+const NEAR_END_MS: u64 = 150;
+
+pub(super) async fn answer(control: &Control, beat: Beat) -> Result<Answer> {
+    control.group.read().await?;
+    let dispatch = &control.dispatch;
+    let now_ms = control.timer.now_ms();
+    let worker = beat.worker.clone();
+    let (heard, hold_ms, wake) = {
+        let machine = control.machine.lock();
+        let mut desk = dispatch.desk.lock();
+        desk.renew(control);
+        let heard = desk.fleet.hear(beat, &machine.batch, dispatch.lease_ms, now_ms);
+        if heard.is_stale {
+            tracing::debug!(target: DECISION, worker, "late heartbeat dropped");
+            return Ok(Answer::Orders(Box::default()));
+        }
+        desk.learn(&machine.batch, &heard.ends);
+        desk.ends.extend(heard.ends.iter().cloned());
+        let orders = desk.fleet.orders(&worker, &machine.batch);
+        let has_orders = !orders.start.is_empty() || !orders.stop.is_empty();
+        let session = desk.fleet.session(&worker);
+        let next_end_ms = session.and_then(|held| held.next_end_ms(&machine.batch, wall_ms()));
+        let hold_ms = hold_ms(has_orders, next_end_ms);
+        (heard, hold_ms, session.map(|held| held.orders.clone()))
+    };
+    if !heard.ends.is_empty() {
+        await_round(control, &heard.ends).await;
+    } else if let (Some(hold_ms), Some(wake)) = (hold_ms, wake) {
+        // The round that has orders for the worker wakes this heartbeat.
+        let _ = tokio::time::timeout(Duration::from_millis(hold_ms), wake.notified()).await;
+    }
+    control.group.read().await?;
+    let machine = control.machine.lock();
+    let mut desk = dispatch.desk.lock();
+    let mut orders = desk.fleet.orders(&worker, &machine.batch);
+    orders.lease_ms = Some(dispatch.lease_ms);
+    orders.term = control.standing().term;
+    orders.next_ms = if hold_ms.is_some() { NEXT_MS } else { NEAR_END_MS };
+    orders.leader = control.settings.name.clone();
+    log_orders(&worker, &orders);
+    Metrics::global().record_beat((control.timer.now_ms() - now_ms) as f64 / 1_000.0);
+    Ok(Answer::Orders(Box::new(orders)))
+}
+
+// How long a heartbeat is held for orders, if it is.
+fn hold_ms(has_orders: bool, next_end_ms: Option<u64>) -> Option<u64> {
+    if has_orders {
+        return None;
+    }
+    let until_ms = next_end_ms.map_or(HOLD_MS, |end_ms| end_ms.saturating_sub(END_MARGIN_MS));
+    (until_ms >= HOLD_MIN_MS).then_some(until_ms.min(HOLD_MS))
+}
+
+fn log_orders(worker: &str, orders: &Orders) {
+    for start in &orders.start {
+        let (task, run) = (start.task, start.run);
+        tracing::info!(target: DECISION, %task, run, worker, term = orders.term, "start told");
+    }
+    for (task, run) in &orders.stop {
+        tracing::info!(target: DECISION, %task, run, worker, term = orders.term, "stop told");
+    }
+}
+
+// Waits until a round has stored these ends and decided what starts in the freed room.
+async fn await_round(control: &Control, ends: &[End]) {
+    let mut rounds = control.dispatch.rounds.subscribe();
+    rounds.mark_unchanged();
+    control.dispatch.changed.notify_one();
+    let is_stored = || {
+        let machine = control.machine.lock();
+        !ends.iter().any(|end| machine.batch.is_active(&end.task, end.run))
+    };
+    let stored = async {
+        // A round that was under way may have missed the news: the one after it has them.
+        while rounds.changed().await.is_ok() && !is_stored() {}
+    };
+    let _ = tokio::time::timeout(Duration::from_millis(STORE_MS), stored).await;
+}
+
+pub(super) async fn leave(
+    control: &Control,
+    worker: &str,
+    incarnation: Option<u64>,
+) -> Result<Answer> {
+    control.group.read().await?;
+    let runs = {
+        let machine = control.machine.lock();
+        let mut desk = control.dispatch.desk.lock();
+        desk.renew(control);
+        desk.fleet.leave(worker, incarnation, control.timer.now_ms());
+        machine.batch.placed_on(worker).count()
+    };
+    tracing::info!(target: DECISION, worker, runs, "worker left");
+    control.dispatch.changed.notify_one();
+    Ok(Answer::Done)
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -30,7 +30,7 @@
 use crate::settings::Settings;
 use crate::state::claim::{Grant, Key};
 use crate::state::{Command, Machine, Reply, job};
-pub use dispatch::next_change;
+pub use dispatch::membership::next_change;
 pub use group::{Group, Standing};
 
 /// Longest wait for a change to be committed.
@@ -88,8 +88,8 @@
         });
         tokio::spawn(scheduler::run(control.clone()));
         if settings.batch.is_on {
-            tokio::spawn(dispatch::run(control.clone()));
-            tokio::spawn(dispatch::keep_members(control.clone()));
+            tokio::spawn(dispatch::round::run(control.clone()));
+            tokio::spawn(dispatch::membership::keep(control.clone()));
         }
         control
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,6 +10,7 @@
 use crate::control::client::Client;
 use crate::entry::{Entry, listen, spread, standing, token};
 use crate::error::Result;
+use crate::kernel::signal;
 use crate::kernel::timer::Timer;
 use crate::mesh::call::{Answer, Call};
 use crate::mesh::frame::{Hello, Notice, VERSION};
@@ -142,7 +143,7 @@
         tokio::pin!(listeners);
         tokio::select! {
             ended = &mut listeners => return ended,
-            () = stop_signal() => {}
+            () = signal::stop() => {}
         }
         tracing::info!(name = self.settings.name, "planned stop");
         let drain = async {
@@ -158,16 +159,3 @@
         ended
     }
 }
-
-async fn stop_signal() {
-    use tokio::signal::unix::{SignalKind, signal};
-    let (Ok(mut term), Ok(mut int)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-}
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod lock;
 pub mod plugin;
+pub mod signal;
 pub mod timer;
