A decision in small steps; tasks that take nothing are counted to their number

Cause, found in reading: a task that asks for nothing fits without end; holding room back for such a gang counted to 2^64 and would have hung the leader, and sums of such counts wrapped. Counts stop at the number of tasks.

--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -10,6 +10,7 @@
 use super::fleet::{Fleet, Place};
 use super::job::{Demand, Id, Name};
 use super::table::{Round, Start, Table};
+use candidate::Shape;
 pub use candidate::{Candidate, candidates};
 use evict::Evictor;
 use seat::Seats;
@@ -146,64 +147,38 @@
 impl Planner {
     /// Decides what starts and stops now.
     pub fn decide(&mut self, view: View<'_>) -> Plan {
-        let mut plan = Plan::default();
-        let mut board = Board::new(view);
-        let mut evictor = Evictor::new(view);
-        let mut searches = 0;
-        let mut reserved = 0;
-        // Room only shrinks within a decision: what found none need not be tried again.
-        let mut failed = BTreeSet::new();
         let candidates = candidates(&view);
         self.forget(view.now_ms, &candidates);
-        plan.hopeless = candidates.iter().filter(|candidate| candidate.is_hopeless).count();
-        plan.used.clone_from(&board.used);
+        let mut draft = Draft::new(view);
+        draft.plan.hopeless = candidates.iter().filter(|candidate| candidate.is_hopeless).count();
         for candidate in &candidates {
-            let shape = candidate.shape();
-            if failed.contains(&shape) && !self.claims.contains_key(&candidate.key) {
-                plan.waiting += 1;
-                if !candidate.may_evict(&view) {
-                    continue;
-                }
+            if draft.is_in_vain(candidate) && !self.claims.contains_key(&candidate.key) {
+                draft.plan.waiting += 1;
+                continue;
             }
-            let seats = seat::find(&board, candidate);
+            let seats = seat::find(&draft.board, candidate);
             if !seats.is_empty() {
                 self.claims.remove(&candidate.key);
-                place(&mut board, candidate, &seats, &mut plan);
+                place(&mut draft.board, candidate, &seats, &mut draft.plan);
             }
             if seats.count() >= candidate.tasks.len() {
                 continue;
             }
-            plan.waiting += 1;
-            failed.insert(shape);
+            draft.plan.waiting += 1;
+            draft.failed.insert(candidate.shape());
             if let Some(claim) = self.claims.get(&candidate.key) {
-                hold_back(&mut board, candidate, &claim.seats);
+                hold_back(&mut draft.board, candidate, &claim.seats);
                 continue;
             }
-            if seats.is_empty() && candidate.may_evict(&view) && searches < EVICTIONS {
-                searches += 1;
-                if let Some(found) = evictor.find(&board, candidate) {
-                    let verdict = Verdict {
-                        key: candidate.key,
-                        seated: 0,
-                        evicted: found.victims.clone(),
-                        reason: "stops less urgent runs",
-                    };
-                    plan.verdicts.push(verdict);
-                    plan.round.stops.extend(found.victims);
-                    hold_back(&mut board, candidate, &found.seats);
-                    let until_ms = view.now_ms + CLAIM_MS;
-                    self.claims.insert(candidate.key, Claim { until_ms, seats: found.seats });
-                    continue;
-                }
-            }
-            if candidate.step.is_gang && !candidate.is_hopeless && reserved < RESERVATIONS {
-                reserved += 1;
-                if let Some(held) = seat::reserve(&board, candidate) {
-                    hold_back(&mut board, candidate, &held);
-                }
+            let may_evict = seats.is_empty() && candidate.may_evict(&view);
+            if let Some(seats) = may_evict.then(|| draft.evict(candidate)).flatten() {
+                let until_ms = view.now_ms + CLAIM_MS;
+                self.claims.insert(candidate.key, Claim { until_ms, seats });
+                continue;
             }
+            draft.reserve(candidate);
         }
-        plan
+        draft.plan
     }
 
     fn forget(&mut self, now_ms: u64, candidates: &[Candidate<'_>]) {
@@ -212,6 +187,62 @@
     }
 }
 
+/// A decision in the making.
+struct Draft<'a> {
+    view: View<'a>,
+    board: Board<'a>,
+    evictor: Evictor<'a>,
+    plan: Plan,
+    searches: usize,
+    reserved: usize,
+    // Room only shrinks within a decision: what found none need not be tried again.
+    failed: BTreeSet<Shape>,
+}
+
+impl<'a> Draft<'a> {
+    fn new(view: View<'a>) -> Self {
+        let board = Board::new(view);
+        let plan = Plan { used: board.used.clone(), ..Plan::default() };
+        let failed = BTreeSet::new();
+        Self { view, board, evictor: Evictor::new(view), plan, searches: 0, reserved: 0, failed }
+    }
+
+    // Whether one like it found no room, and it may not make room either.
+    fn is_in_vain(&self, candidate: &Candidate<'_>) -> bool {
+        self.failed.contains(&candidate.shape()) && !candidate.may_evict(&self.view)
+    }
+
+    // Stops less urgent runs for a step, and keeps the room that they leave.
+    fn evict(&mut self, candidate: &Candidate<'_>) -> Option<BTreeMap<String, u64>> {
+        if self.searches >= EVICTIONS {
+            return None;
+        }
+        self.searches += 1;
+        let found = self.evictor.find(&self.board, candidate)?;
+        self.plan.verdicts.push(Verdict {
+            key: candidate.key,
+            seated: 0,
+            evicted: found.victims.clone(),
+            reason: "stops less urgent runs",
+        });
+        self.plan.round.stops.extend(found.victims);
+        hold_back(&mut self.board, candidate, &found.seats);
+        Some(found.seats)
+    }
+
+    // Keeps room for a gang from the less urgent work that comes after it.
+    fn reserve(&mut self, candidate: &Candidate<'_>) {
+        let is_due = candidate.step.is_gang && !candidate.is_hopeless;
+        if !is_due || self.reserved >= RESERVATIONS {
+            return;
+        }
+        self.reserved += 1;
+        if let Some(held) = seat::reserve(&self.board, candidate) {
+            hold_back(&mut self.board, candidate, &held);
+        }
+    }
+}
+
 fn place(board: &mut Board<'_>, candidate: &Candidate<'_>, seats: &Seats, plan: &mut Plan) {
     let (job, occurrence, step) = candidate.key;
     let number = candidate.next_run();
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -48,15 +48,15 @@
     }
 
     /// What two candidates share that find room at the same time.
-    pub(super) fn shape(&self) -> Shape<'_> {
+    pub(super) fn shape(&self) -> Shape {
         let step = self.step;
         let demand = &step.demand;
         Shape {
-            pool: &self.job.terms.pool,
+            pool: self.job.terms.pool.clone(),
             demand: (demand.cpu_milli, demand.memory_mb, demand.accelerators),
             count: if step.is_gang { self.tasks.len() as u64 } else { 1 },
-            label: &step.label,
-            data_rack: &step.data_rack,
+            label: step.label.clone(),
+            data_rack: step.data_rack.clone(),
             is_rack_local: step.is_rack_local,
             bound: if step.per_worker > 0 { Some(self.key) } else { None },
             may_go_far: self.may_go_far(),
@@ -85,12 +85,12 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Shape<'a> {
-    pool: &'a str,
+pub(super) struct Shape {
+    pool: String,
     demand: (u64, u64, u32),
     count: u64,
-    label: &'a str,
-    data_rack: &'a str,
+    label: String,
+    data_rack: String,
     is_rack_local: bool,
     bound: Option<Key>,
     may_go_far: u8,
--- a/src/batch/plan/seat.rs
+++ b/src/batch/plan/seat.rs
@@ -166,6 +166,8 @@
             let bound = u64::from(step.per_worker);
             fits = fits.min(bound.saturating_sub(held_by(candidate, &place.worker)));
         }
+        // More than there are tasks says nothing, and tasks that take nothing fit without end.
+        let fits = fits.min(candidate.tasks.len() as u64);
         if fits > 0 {
             found.push((*at, fits));
         }
--- a/tests/load_gangs.rs
+++ b/tests/load_gangs.rs
@@ -85,6 +85,22 @@
     assert_eq!(desk.round().round.starts.len(), 0, "those that run count too");
 }
 
+/// Tasks may ask for nothing at all; they fit without end, and must not be counted without end.
+#[rstest]
+#[case::single(false)]
+#[case::gang(true)]
+fn tasks_that_take_nothing_are_placed_like_others(#[case] is_gang: bool) {
+    let mut desk = Desk::with_workers(8);
+    let step = Step { count: 3, is_gang, is_rack_local: true, ..Step::default() };
+    desk.submit(1, "large", vec![step]);
+    desk.submit(
+        2,
+        "small",
+        vec![Step { label: "none".into(), count: 2, is_gang, ..Step::default() }],
+    );
+    assert_eq!(desk.round().round.starts.len(), 3);
+}
+
 #[rstest]
 #[case::has_it("a", 1)]
 #[case::has_not("b", 0)]
