A gang that stops for several seats is counted once

Cause: the cost of an eviction was summed by seat, so that a gang on two workers counted twice and urgent gangs found no eviction that was worth it. Shown by room_that_evictions_free_is_kept_for_whom_they_were_made, which now asserts its stops.

--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -76,7 +76,10 @@
             }
             slots.sort_by_key(|slot| slot.cost);
             slots.truncate(wanted);
-            let cost = slots.iter().map(|slot| slot.cost).sum();
+            // A gang that stops for several seats is lost once.
+            let all: BTreeSet<usize> =
+                slots.iter().flat_map(|slot| slot.victims.iter().copied()).collect();
+            let cost = all.iter().map(|at| index.victims[*at].cost).sum::<u64>();
             if best.as_ref().is_none_or(|(held, _)| cost < *held) {
                 best = Some((cost, slots));
             }
