What no worker could hold is refused at once; no room for it; avoided workers only for a while

A hand-in that no worker of the pool could ever hold is now 429 with Retry-After 60, once the leader has led for a whole lease and so has heard all workers.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -22,6 +22,11 @@
 const STUCK_MS: u64 = 2_500;
 /// Failed runs in a row after which a worker counts as sick.
 const FAILURES: u32 = 2;
+/// Silence after which a worker no longer counts as part of its pool, in milliseconds: longer than
+/// any lease.
+const GONE_MS: u64 = 15_000;
+/// Silence after which a worker is forgotten, in milliseconds; its runs were lost long before.
+const FORGET_MS: u64 = 120_000;
 /// Run time below which hardly any task ends, in milliseconds.
 const EARLY_MS: u64 = 1_000;
 /// First exclusion of a worker that failed or stalled a run, in milliseconds; it doubles.
@@ -178,8 +183,9 @@
         self.leaving.insert(worker.to_string(), now_ms + LEAVE_MS);
     }
 
-    /// Forgets workers whose time after their leave is over.
+    /// Forgets workers whose time after their leave is over, and those silent for very long.
     pub fn forget_gone(&mut self, now_ms: u64) {
+        self.sessions.retain(|_, session| now_ms < session.heard_ms + FORGET_MS);
         let gone = |until_ms: &u64| *until_ms <= now_ms;
         let workers: Vec<String> =
             self.leaving.iter().filter(|(_, at)| gone(at)).map(|(name, _)| name.clone()).collect();
@@ -238,12 +244,15 @@
         }
     }
 
-    /// Every worker with the room that is left on it, sorted by name.
+    /// Every worker that was heard lately, with the room that is left on it, sorted by name.
     pub fn places(&self, table: &Table, now_ms: u64) -> Vec<Place> {
         let mut places = Vec::new();
         for (worker, session) in &self.sessions {
             let beat = &session.beat;
             let silent_ms = now_ms.saturating_sub(session.heard_ms);
+            if silent_ms > GONE_MS {
+                continue;
+            }
             let is_excluded = now_ms < session.health.excluded_until_ms;
             places.push(Place {
                 worker: worker.clone(),
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -236,6 +236,8 @@
     pub checkpoint: String,
     /// Worker of the last run that failed.
     pub failed_on: String,
+    /// When that was, in milliseconds since 1970.
+    pub failed_ms: u64,
 }
 
 /// Progress of one step in one occurrence.
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -8,7 +8,7 @@
 
 use super::estimate::Estimates;
 use super::fleet::{Fleet, Place};
-use super::job::{Demand, Id, Name};
+use super::job::{Demand, Id, Name, Step};
 use super::table::{Round, Start, Table};
 use candidate::Shape;
 pub use candidate::{Candidate, candidates};
@@ -137,6 +137,32 @@
     }
 }
 
+/// Whether these places could hold a step if they were empty: the whole of a gang, one task of
+/// another step.
+fn holds<'a>(places: impl Iterator<Item = &'a Place>, step: &Step) -> bool {
+    let wanted = if step.is_gang { u64::from(step.count) } else { 1 };
+    let mut total = 0u64;
+    for place in places {
+        if !seat::has_label(place, &step.label) {
+            continue;
+        }
+        let mut fits = place.capacity.fits(&step.demand, step.is_filler);
+        if step.per_worker > 0 {
+            fits = fits.min(step.per_worker.into());
+        }
+        total = total.saturating_add(fits);
+    }
+    total >= wanted
+}
+
+/// The first step that no worker of a pool, however empty, could hold. A pool without any worker
+/// says nothing.
+pub fn impossible_step(places: &[Place], pool: &str, steps: &[Step]) -> Option<usize> {
+    let of_pool = || places.iter().filter(|place| place.pool == pool);
+    of_pool().next()?;
+    steps.iter().position(|step| !holds(of_pool(), step))
+}
+
 fn weight(free: &Demand, capacity: &Demand) -> (u64, u64) {
     if capacity.accelerators > 0 {
         return (free.accelerators.into(), capacity.accelerators.into());
@@ -233,7 +259,8 @@
     // Keeps room for a gang from the less urgent work that comes after it.
     fn reserve(&mut self, candidate: &Candidate<'_>) {
         let is_due = candidate.step.is_gang && !candidate.is_hopeless;
-        if !is_due || self.reserved >= RESERVATIONS {
+        // Room that is held back for what never fits would stand empty.
+        if !is_due || self.reserved >= RESERVATIONS || !seat::could_fit(&self.board, candidate) {
             return;
         }
         self.reserved += 1;
--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -127,7 +127,7 @@
 ) -> Vec<Slot> {
     let step = candidate.step;
     let place = &board.places[at];
-    if !has_label(place, &step.label) || is_unlucky(candidate, place) {
+    if !has_label(place, &step.label) || is_unlucky(board, candidate, place) {
         return Vec::new();
     }
     let mut bound = candidate.tasks.len() as u64;
--- a/src/batch/plan/seat.rs
+++ b/src/batch/plan/seat.rs
@@ -14,6 +14,10 @@
 /// Use of a pool below which a step goes away from its data where it still ends on time.
 const ROOMY: f64 = 0.5;
 
+/// Time after a failure for which its worker is avoided by the task, in milliseconds: long enough
+/// to find another place on a busy pool.
+const AVOID_MS: u64 = 3_000;
+
 /// Seats that were found.
 #[derive(Debug, Default)]
 pub(super) struct Seats {
@@ -128,6 +132,12 @@
     best.map(|(_, found)| fill(candidate, found)).unwrap_or_default()
 }
 
+/// Whether the pool could hold the step if it were empty; a gang must fit whole.
+pub(super) fn could_fit(board: &Board<'_>, candidate: &Candidate<'_>) -> bool {
+    let of_pool = board.places.iter().filter(|place| place.pool == candidate.job.terms.pool);
+    super::holds(of_pool, candidate.step)
+}
+
 // Whether some rack of the pool could hold the whole step if it were empty.
 fn could_fit_one_rack(board: &Board<'_>, candidate: &Candidate<'_>) -> bool {
     let step = candidate.step;
@@ -135,17 +145,7 @@
         if key.0 != candidate.job.terms.pool {
             continue;
         }
-        let mut total = 0u64;
-        for at in members {
-            let place = &board.places[*at];
-            if !has_label(place, &step.label) {
-                continue;
-            }
-            let fits = place.capacity.fits(&step.demand, step.is_filler);
-            let fits = if step.per_worker > 0 { fits.min(step.per_worker.into()) } else { fits };
-            total = total.saturating_add(fits);
-        }
-        if total >= u64::from(step.count) {
+        if super::holds(members.iter().map(|at| &board.places[*at]), step) {
             return true;
         }
     }
@@ -158,7 +158,7 @@
     let mut found = Vec::new();
     for at in members {
         let place = &board.places[*at];
-        if !has_label(place, &step.label) || is_unlucky(candidate, place) {
+        if !has_label(place, &step.label) || is_unlucky(board, candidate, place) {
             continue;
         }
         let mut fits = place.free.fits(&step.demand, step.is_filler);
@@ -184,10 +184,14 @@
     label.is_empty() || place.labels.iter().any(|held| held == label)
 }
 
-// A task that failed there goes elsewhere while it has attempts to lose.
-pub(super) fn is_unlucky(candidate: &Candidate<'_>, place: &Place) -> bool {
+// A task that has just failed there goes elsewhere; later on the worker may be the only one left.
+pub(super) fn is_unlucky(board: &Board<'_>, candidate: &Candidate<'_>, place: &Place) -> bool {
     let tasks = &candidate.progress.tasks;
-    let failed = |index: &u32| tasks[*index as usize].failed_on == place.worker;
+    let failed = |index: &u32| {
+        let task = &tasks[*index as usize];
+        let is_fresh = board.view.wall_ms < task.failed_ms + AVOID_MS;
+        is_fresh && task.failed_on == place.worker
+    };
     candidate.tasks.iter().any(failed)
 }
 
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -234,7 +234,7 @@
         if is_gang && is_done {
             freed = members(progress, &end.task);
         }
-        let gone = leave(progress, end, is_done, &freed);
+        let gone = leave(progress, end, is_done, &freed, now_ms);
         if is_gang && !is_done {
             break_gang(progress, end);
         }
@@ -335,7 +335,13 @@
 }
 
 // Takes the run's place away from these tasks; returns where they had it.
-fn leave(progress: &mut Progress, end: &End, is_done: bool, freed: &[Name]) -> Vec<(String, Name)> {
+fn leave(
+    progress: &mut Progress,
+    end: &End,
+    is_done: bool,
+    freed: &[Name],
+    now_ms: u64,
+) -> Vec<(String, Name)> {
     let mut gone = Vec::new();
     for name in freed {
         let task = &mut progress.tasks[name.index as usize];
@@ -358,6 +364,7 @@
         if end.how == How::Failed {
             task.failures += 1;
             task.failed_on = worker;
+            task.failed_ms = now_ms;
         }
     }
     gone
--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -1,13 +1,20 @@
 //! What callers and operators ask of the leader.
 
+use std::time::Duration;
+
 use super::{Control, propose};
 use crate::batch::call::{Answer, Target};
 use crate::batch::document::{Document, Queue};
+use crate::batch::fleet::lease_bound_ms;
 use crate::batch::job::{Id, Phase, Spec};
-use crate::batch::table::{Command as Batch, Submission};
+use crate::batch::plan::impossible_step;
+use crate::batch::table::{Command as Batch, Submission, Table};
 use crate::error::{Code, Error, Result};
 use crate::telemetry::{DECISION, Metrics};
 
+/// When a job that no worker could hold may be handed in again: workers are added in minutes.
+const NEW_WORKERS: Duration = Duration::from_secs(60);
+
 pub(super) async fn submit(
     control: &Control,
     target: &Target,
@@ -25,6 +32,7 @@
         if let Some(fault) = spec.fault() {
             return Err(Error::not_run(Code::BadRequest, fault));
         }
+        refuse_impossible(control, &machine.batch, queue, &spec)?;
         let (queue, terms) = (queue.name.clone(), queue.terms.clone());
         (Submission { id, queue, customer, terms, spec }, machine.batch.document.revision)
     };
@@ -96,6 +104,24 @@
     Ok(Answer::Document { revision: document.revision, source: document.source.clone() })
 }
 
+// What no worker could ever hold is refused at once. A new leader must have heard every worker that
+// is there before it may judge that.
+fn refuse_impossible(control: &Control, jobs: &Table, queue: &Queue, spec: &Spec) -> Result<()> {
+    let now_ms = control.timer.now_ms();
+    let leads_ms = now_ms.saturating_sub(control.standing().since_ms);
+    if leads_ms < lease_bound_ms(control.dispatch.lease_ms) {
+        return Ok(());
+    }
+    let places = control.dispatch.desk.lock().fleet.places(jobs, now_ms);
+    match impossible_step(&places, &queue.terms.pool, &spec.steps) {
+        Some(step) => {
+            let message = format!("no workers of the pool could hold step {step}");
+            Err(Error::not_run(Code::OverLimit, message).retry_after(NEW_WORKERS))
+        }
+        None => Ok(()),
+    }
+}
+
 fn authorize<'a, 'b>(
     document: &'a Document,
     target: &'b Target,
--- a/tests/load_gangs.rs
+++ b/tests/load_gangs.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
-use eelgrassvalve::batch::job::Step;
+use eelgrassvalve::batch::job::{Demand, Step};
+use eelgrassvalve::batch::plan::impossible_step;
 use rstest::rstest;
-use support::batch::{Desk, gang, name, step};
+use support::batch::{Desk, WORKER, gang, name, step};
 
 #[test]
 fn a_gang_gets_all_places_or_none() {
@@ -85,6 +86,51 @@
     assert_eq!(desk.round().round.starts.len(), 0, "those that run count too");
 }
 
+/// Jobs that no worker could ever hold: refused at hand-in, and no room is kept for them.
+#[rstest]
+#[case::fits(gang(4), None)]
+#[case::more_than_all_workers(gang(5), Some(0))]
+#[case::more_than_a_worker(Step { demand: Demand { accelerators: 9, ..WORKER }, ..step(1) }, Some(0))]
+#[case::label_that_none_has(Step { label: "b".into(), ..step(1) }, Some(0))]
+#[case::single_tasks_in_turn(step(500), None)]
+#[case::bound_by_worker(Step { per_worker: 1, is_gang: true, ..step(5) }, Some(0))]
+fn what_no_worker_could_hold_is_known(#[case] step: Step, #[case] impossible: Option<usize>) {
+    let desk = Desk::with_workers(4);
+    let places = desk.fleet.places(&desk.table, desk.now_ms);
+    assert_eq!(impossible_step(&places, "pool", std::slice::from_ref(&step)), impossible);
+    assert_eq!(impossible_step(&places, "other", &[step]), None, "an empty pool says nothing");
+}
+
+#[test]
+fn no_room_is_kept_for_a_gang_that_never_fits() {
+    let mut desk = Desk::with_workers(4);
+    desk.submit(1, "large", vec![gang(5)]);
+    desk.submit(2, "small", vec![step(32)]);
+    assert_eq!(desk.round().round.starts.len(), 32);
+}
+
+/// A pool of one worker: a task that failed there has no other place to go.
+#[test]
+fn a_task_returns_to_the_only_worker_after_a_while() {
+    let mut desk = Desk::with_workers(1);
+    desk.submit(1, "small", vec![step(1)]);
+    desk.round();
+    desk.end(name(1, 0, 0), 1, eelgrassvalve::batch::worker::How::Failed);
+    desk.hear_all(1);
+    assert!(desk.round().round.starts.is_empty());
+    desk.now_ms += 3_000;
+    desk.hear_all(1);
+    assert_eq!(desk.round().round.starts.len(), 1);
+}
+
+#[test]
+fn workers_silent_for_long_are_no_part_of_the_pool() {
+    let mut desk = Desk::with_workers(2);
+    desk.now_ms += 16_000;
+    desk.hear("w0", |_| {});
+    assert_eq!(desk.fleet.places(&desk.table, desk.now_ms).len(), 1);
+}
+
 /// Tasks may ask for nothing at all; they fit without end, and must not be counted without end.
 #[rstest]
 #[case::single(false)]
