Heartbeats of leaving workers are not held, and their last one is waited for

Cause: a draining worker's heartbeats were held up to 600 ms like others' (seen in a trial with lines for each: answered after 601 ms until it left); the runner lists an end only after the answer, so its last heartbeat came more than 400 ms after its leave and was dropped as one of a worker that had left. Change: no hold while draining; a leave wakes a held heartbeat; the wait after a leave is 1 s, the longest that a worker waits for an answer.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -13,9 +13,9 @@
 const DRIFT: u64 = 25;
 /// Reserve on top of a lease before its runs count as ended, in milliseconds: one late timer.
 const SLACK_MS: u64 = 300;
-/// Time after a worker's leave for which its last heartbeat is waited for, in milliseconds: it is
-/// sent 50 ms after an end, on a connection of its own.
-const LEAVE_MS: u64 = 400;
+/// Time after a worker's leave for which its last heartbeat is waited for, in milliseconds: the
+/// longest that a worker waits for an answer before it sends the next one.
+const LEAVE_MS: u64 = 1_000;
 /// Silence after which a worker gets no new work, in milliseconds: two missed heartbeats.
 const SILENT_MS: u64 = 2_500;
 /// Time without any progress after which a run counts as stuck, in milliseconds.
@@ -335,6 +335,10 @@
     /// Milliseconds until one of its runs may end, judged by their progress; `None` where nothing
     /// runs that can end by itself.
     pub fn next_end_ms(&self, table: &Table, wall_ms: u64) -> Option<u64> {
+        // A worker that leaves may do so at any moment, and lists no end while a heartbeat is held.
+        if self.beat.is_draining {
+            return Some(0);
+        }
         let mut next = None;
         for row in &self.beat.running {
             let Some(run) = table.active(&row.task) else { return Some(0) };
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -112,6 +112,8 @@
         let mut desk = control.dispatch.desk.lock();
         desk.renew(control);
         desk.fleet.leave(worker, incarnation, control.timer.now_ms());
+        // A heartbeat that is held would keep the worker from listing its last ends.
+        desk.fleet.wake(worker);
         machine.batch.placed_on(worker).count()
     };
     tracing::info!(target: DECISION, worker, runs, "worker left");
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -112,11 +112,15 @@
 
 /// Found on the day frozen-leader: a worker's last end and its leave come at the same moment, in
 /// either order, and a task that was done ran again.
-#[test]
-fn an_end_that_comes_right_after_its_worker_left_counts() {
+#[rstest]
+#[case::at_once(5)]
+#[case::after_an_answer_that_was_held(700)]
+fn an_end_that_comes_right_after_its_worker_left_counts(#[case] late_ms: u64) {
     let mut desk = running();
     desk.fleet.leave("w0", None, desk.now_ms);
-    desk.now_ms += 5;
+    desk.now_ms += late_ms;
+    assert!(desk.fleet.lost(&desk.table, 0, desk.now_ms).is_empty());
+    desk.fleet.forget_gone(desk.now_ms);
     let heard = desk.hear("w0", |beat| {
         beat.is_draining = true;
         beat.running.clear();
@@ -141,6 +145,15 @@
     assert_eq!(desk.round().round.starts.len(), placed);
 }
 
+/// Found on trouble-3 of Attica: a held heartbeat kept a leaving worker from listing its last end.
+#[test]
+fn heartbeats_of_a_draining_worker_are_not_held() {
+    let mut desk = running();
+    desk.hear("w0", |beat| beat.is_draining = true);
+    let session = desk.fleet.session("w0").expect("is known");
+    assert_eq!(session.next_end_ms(&desk.table, desk.now_ms), Some(0));
+}
+
 #[test]
 fn a_worker_that_left_gets_no_work() {
     let mut desk = Desk::with_workers(1);
