Runs are stopped before their worker leaves

Cause, from trials with lines for each heartbeat and leave: the runner lists an end 50 ms after it, and says that it leaves before that; nothing that comes later tells of the end, so the wait for a last heartbeat can't help alone. Change: runs that would still be there one second before the leave are stopped; they save their progress and their ends are listed in time. Test failed before.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -16,6 +16,9 @@
 /// Time after a worker's leave for which its last heartbeat is waited for, in milliseconds: the
 /// longest that a worker waits for an answer before it sends the next one.
 const LEAVE_MS: u64 = 1_000;
+/// Time before a worker's leave at which its runs are stopped, in milliseconds: a round and a
+/// heartbeat until it is told, 400 for the stop, and a heartbeat that lists the ends.
+const EVACUATE_MS: u64 = 1_000;
 /// Silence after which a worker gets no new work, in milliseconds: two missed heartbeats.
 const SILENT_MS: u64 = 2_500;
 /// Time without any progress after which a run counts as stuck, in milliseconds.
@@ -237,6 +240,20 @@
         stuck
     }
 
+    /// Runs that must stop now, since their workers are about to leave: an end in the last moment
+    /// before that is never listed, and what is lost with a worker may have been done.
+    pub fn evacuated(&self, table: &Table, now_ms: u64) -> Vec<(Name, u32)> {
+        let mut runs = Vec::new();
+        for (worker, session) in &self.sessions {
+            if !session.is_about_to_leave(now_ms) {
+                continue;
+            }
+            let placed = table.placed_on(worker).filter(|(_, run)| !run.is_stopping);
+            runs.extend(placed.map(|(name, run)| (*name, run.number)));
+        }
+        runs
+    }
+
     /// Gives a worker no work for a while, since a run on it is stuck.
     pub fn exclude(&mut self, worker: &str, now_ms: u64) {
         if let Some(session) = self.sessions.get_mut(worker) {
@@ -327,6 +344,14 @@
         row.map(|row| row.percent)
     }
 
+    /// Whether the time that the worker has left is over before what is told it now is listed.
+    pub fn is_about_to_leave(&self, now_ms: u64) -> bool {
+        let Some(remaining_ms) = self.beat.remaining_ms.filter(|_| self.beat.is_draining) else {
+            return false;
+        };
+        now_ms + EVACUATE_MS >= self.heard_ms + remaining_ms
+    }
+
     /// Whether the worker runs nothing and has nothing left to report.
     pub fn is_idle(&self) -> bool {
         self.beat.running.is_empty() && self.beat.ended.is_empty()
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -43,6 +43,9 @@
         let orders = desk.fleet.orders(&worker, &machine.batch);
         let has_orders = !orders.start.is_empty() || !orders.stop.is_empty();
         let session = desk.fleet.session(&worker);
+        if session.is_some_and(|held| held.is_about_to_leave(now_ms)) {
+            dispatch.changed.notify_one();
+        }
         let next_end_ms = session.and_then(|held| held.next_end_ms(&machine.batch, wall_ms()));
         let hold_ms = hold_ms(has_orders, next_end_ms);
         (heard, hold_ms, session.map(|held| held.orders.clone()))
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -87,6 +87,7 @@
     let mut desk = control.dispatch.desk.lock();
     let Desk { fleet, planner, estimates, .. } = &mut *desk;
     let stuck = fleet.stuck(&machine.batch, now_ms);
+    let evacuated = fleet.evacuated(&machine.batch, now_ms);
     for (name, _) in &stuck {
         if let Some(run) = machine.batch.active(name) {
             fleet.exclude(&run.worker, now_ms);
@@ -101,6 +102,10 @@
         wall_ms: wall_ms(),
     };
     let mut plan = planner.decide(view);
+    for (name, run) in evacuated {
+        tracing::info!(target: DECISION, task = %name, run, "run is stopped before its worker leaves");
+        plan.round.stops.push((name, run));
+    }
     for (name, run) in stuck {
         tracing::info!(target: DECISION, task = %name, run, "run makes no progress and is stopped");
         plan.round.stops.push((name, run));
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -156,6 +156,26 @@
     assert_eq!(session.next_end_ms(&desk.table, desk.now_ms), Some(0));
 }
 
+/// Found on leaving-runners of Attica: a run that was done 20 ms before its worker left was never
+/// listed, and ran again.
+#[rstest]
+#[case::time_enough(Some(1_500), 0)]
+#[case::about_to_leave(Some(900), 1)]
+#[case::untold(None, 0)]
+fn runs_are_stopped_before_their_worker_leaves(
+    #[case] remaining_ms: Option<u64>,
+    #[case] stopped: usize,
+) {
+    let mut desk = running();
+    desk.hear("w0", |beat| {
+        beat.is_draining = true;
+        beat.remaining_ms = remaining_ms;
+    });
+    assert_eq!(desk.fleet.evacuated(&desk.table, desk.now_ms).len(), stopped);
+    let is_later_too = remaining_ms.is_some();
+    assert_eq!(!desk.fleet.evacuated(&desk.table, desk.now_ms + 600).is_empty(), is_later_too);
+}
+
 #[test]
 fn a_worker_that_left_gets_no_work() {
     let mut desk = Desk::with_workers(1);
