A guarantee that is due is kept anywhere in the pool

Cause: evictions and seats looked only in the rack of its data, which held work as urgent; nothing there could yield. Change: once a guarantee is due, any worker of the pool will do.

--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -107,6 +107,9 @@
 fn groups(board: &Board<'_>, candidate: &Candidate<'_>) -> Vec<Vec<usize>> {
     let step = candidate.step;
     let of_pool = board.racks.iter().filter(|(key, _)| key.0 == candidate.job.terms.pool);
+    if candidate.must_begin(&board.view) {
+        return vec![of_pool.flat_map(|(_, members)| members.clone()).collect()];
+    }
     if !step.data_rack.is_empty() {
         let near = of_pool.filter(|(key, _)| key.1 == step.data_rack);
         return near.map(|(_, members)| members.clone()).collect();
--- a/src/batch/plan/seat.rs
+++ b/src/batch/plan/seat.rs
@@ -97,6 +97,10 @@
 }
 
 fn may_go_far(board: &Board<'_>, candidate: &Candidate<'_>) -> bool {
+    // A guarantee that is due is kept anywhere.
+    if candidate.must_begin(&board.view) {
+        return true;
+    }
     let used = board.used(&candidate.job.terms.pool);
     if candidate.waited_ms > PATIENCE_MS && used < IDLE {
         return true;
--- a/tests/load_urgent.rs
+++ b/tests/load_urgent.rs
@@ -65,6 +65,33 @@
     assert_eq!(!desk.round().round.stops.is_empty(), stops);
 }
 
+/// Found on a varied day lost-acks of Attica: the rack of its data was full of work as urgent, and a
+/// guaranteed gang began 0.6 s too late.
+#[test]
+fn a_guarantee_that_is_due_is_kept_away_from_its_data_too() {
+    let mut desk = Desk::with_workers(8);
+    for (job, rack) in [(1, "r0"), (2, "r1")] {
+        let queue = if job == 1 { "urgent" } else { "large" };
+        desk.submit(job, queue, vec![Step { data_rack: rack.into(), ..gang(4) }]);
+    }
+    desk.round();
+    desk.hear_all(8);
+    let mut document = support::batch::document();
+    document.revision = 2;
+    document.customers[0].guaranteed = 64;
+    desk.apply(eelgrassvalve::batch::table::Command::Publish(Box::new(document)));
+    desk.submit(3, "urgent", vec![Step { data_rack: "r0".into(), ..urgent(2) }]);
+    desk.now_ms += 3_300;
+    desk.hear_all(8);
+    assert_eq!(desk.round().round.stops.len(), 4, "the gang of the other rack stops");
+    for index in 0..4 {
+        desk.end(name(2, 0, index), 1, eelgrassvalve::batch::worker::How::Stopped);
+    }
+    desk.hear_all(8);
+    desk.round();
+    assert!(desk.worker_of(name(3, 0, 0)).is_some());
+}
+
 #[test]
 fn work_that_saves_its_progress_is_stopped_first() {
     let mut desk = Desk::with_workers(2);
