A guarantee that is due goes first, near its data, and at its last call anywhere

Work that was hopeless by its short objective was never given room at all, though its guarantee was due. Ruled out: the stops themselves (told within 60 ms, ended in 0.4 s). Change: what is due sorts first, looks near its data at any price, and anywhere in the pool only 1.6 s before the bound; a claim that nobody answered for 0.9 s is given up then.

--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -18,6 +18,9 @@
 /// Age of a claim on room that evictions free, in milliseconds, after which it lapses: an eviction
 /// takes a heartbeat and a stop.
 const CLAIM_MS: u64 = 2_500;
+/// Age of a claim after which a guarantee at its last call makes room elsewhere, in milliseconds: by
+/// then the workers of the first choice have not answered.
+const UNANSWERED_MS: u64 = 900;
 /// Candidates for which evictions are sought in one decision; it bounds the time of a decision.
 const EVICTIONS: usize = 6;
 /// Gangs for which room is held back from less urgent work in one decision.
@@ -92,7 +95,7 @@
 
 #[derive(Debug)]
 struct Claim {
-    until_ms: u64,
+    made_ms: u64,
     // Tasks to be seated, by worker.
     seats: BTreeMap<String, u64>,
 }
@@ -192,14 +195,13 @@
             }
             draft.plan.waiting += 1;
             draft.failed.insert(candidate.shape());
-            if let Some(claim) = self.claims.get(&candidate.key) {
+            if let Some(claim) = self.claim(candidate, &view) {
                 hold_back(&mut draft.board, candidate, &claim.seats);
                 continue;
             }
             let may_evict = seats.is_empty() && candidate.may_evict(&view);
             if let Some(seats) = may_evict.then(|| draft.evict(candidate)).flatten() {
-                let until_ms = view.now_ms + CLAIM_MS;
-                self.claims.insert(candidate.key, Claim { until_ms, seats });
+                self.claims.insert(candidate.key, Claim { made_ms: view.now_ms, seats });
                 continue;
             }
             draft.reserve(candidate);
@@ -207,9 +209,16 @@
         draft.plan
     }
 
+    // The room that a candidate waits for, unless it can't wait for it any longer.
+    fn claim(&self, candidate: &Candidate<'_>, view: &View<'_>) -> Option<&Claim> {
+        let claim = self.claims.get(&candidate.key)?;
+        let is_unanswered = view.now_ms >= claim.made_ms + UNANSWERED_MS;
+        (!candidate.is_last_call(view) || !is_unanswered).then_some(claim)
+    }
+
     fn forget(&mut self, now_ms: u64, candidates: &[Candidate<'_>]) {
         let keys: BTreeSet<Key> = candidates.iter().map(|candidate| candidate.key).collect();
-        self.claims.retain(|key, claim| now_ms < claim.until_ms && keys.contains(key));
+        self.claims.retain(|key, claim| now_ms < claim.made_ms + CLAIM_MS && keys.contains(key));
     }
 }
 
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -10,6 +10,12 @@
 /// Time between a decision to evict and a start in the freed room, in milliseconds: a heartbeat of
 /// the victim's worker, its stop, and one more heartbeat.
 const EVICTION_MS: u64 = 900;
+/// Time before the bound of a guarantee from which on it is kept at any price, in milliseconds: three
+/// evictions, since a worker that is silent may keep the room of the first one.
+const DUE_MS: u64 = 3 * EVICTION_MS;
+/// Time before the bound of a guarantee from which on it is kept anywhere in the pool, however slowly
+/// its tasks run there, in milliseconds: one eviction and the start after it.
+const LAST_CALL_MS: u64 = 1_600;
 
 /// A step with tasks that wait for a place.
 #[derive(Debug)]
@@ -70,17 +76,31 @@
 
     /// Whether waiting any longer would make it late while less urgent work runs.
     pub fn may_evict(&self, view: &View<'_>) -> bool {
+        if self.is_due(view) {
+            return true;
+        }
         if self.job.terms.priority > 0 || self.is_hopeless {
             return false;
         }
         let latest_start_ms = self.objective_ms.saturating_sub(self.rest_ms + EVICTION_MS);
-        view.wall_ms >= latest_start_ms || self.must_begin(view)
+        view.wall_ms >= latest_start_ms
+    }
+
+    /// Whether its customer's guarantee is due, whatever that costs others. One whose bound was
+    /// missed stays due as long as the job is of use.
+    pub fn is_due(&self, view: &View<'_>) -> bool {
+        self.is_within(DUE_MS, view)
+    }
+
+    /// Whether its customer's guarantee can only just be kept.
+    pub fn is_last_call(&self, view: &View<'_>) -> bool {
+        self.is_within(LAST_CALL_MS, view)
     }
 
-    /// Whether its customer's guarantee is due, whatever that costs others.
-    pub fn must_begin(&self, view: &View<'_>) -> bool {
-        let reclaim_ms = view.times.reclaim_ms.saturating_sub(3 * EVICTION_MS);
-        self.is_guaranteed && self.waited_ms >= reclaim_ms
+    fn is_within(&self, left_ms: u64, view: &View<'_>) -> bool {
+        let reclaim_ms = view.times.reclaim_ms;
+        let is_owed = self.waited_ms < reclaim_ms || !self.is_hopeless;
+        self.is_guaranteed && is_owed && self.waited_ms + left_ms >= reclaim_ms
     }
 }
 
@@ -124,6 +144,7 @@
     found.sort_by_key(|candidate| {
         let work = candidate.run_ms * u64::from(candidate.step.demand.accelerators.max(1));
         (
+            !candidate.is_due(view),
             candidate.is_hopeless,
             candidate.job.terms.priority,
             candidate.is_late,
--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -85,7 +85,7 @@
             }
         }
         let (cost, slots) = best?;
-        if cost > WORTH && !candidate.must_begin(&view) {
+        if cost > WORTH && !candidate.is_due(&view) {
             return None;
         }
         let mut seats = BTreeMap::new();
@@ -107,7 +107,7 @@
 fn groups(board: &Board<'_>, candidate: &Candidate<'_>) -> Vec<Vec<usize>> {
     let step = candidate.step;
     let of_pool = board.racks.iter().filter(|(key, _)| key.0 == candidate.job.terms.pool);
-    if candidate.must_begin(&board.view) {
+    if candidate.is_last_call(&board.view) {
         return vec![of_pool.flat_map(|(_, members)| members.clone()).collect()];
     }
     if !step.data_rack.is_empty() {
--- a/src/batch/plan/seat.rs
+++ b/src/batch/plan/seat.rs
@@ -97,8 +97,7 @@
 }
 
 fn may_go_far(board: &Board<'_>, candidate: &Candidate<'_>) -> bool {
-    // A guarantee that is due is kept anywhere.
-    if candidate.must_begin(&board.view) {
+    if candidate.is_last_call(&board.view) {
         return true;
     }
     let used = board.used(&candidate.job.terms.pool);
