Run times are expected from what jobs declare, as far as that proved right, and zones have a speed

Cause: the expected run time was the queue's mean, whatever a job declared, though jobs of a queue differ more from one another than from their declarations on Kochi. Runs away from their data no longer teach anything.

--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -12,7 +12,7 @@
 
 use super::{COMMIT, Control};
 use crate::batch::call::{Answer, Request};
-use crate::batch::estimate::Estimates;
+use crate::batch::estimate::{Estimates, Sample};
 use crate::batch::fleet::Fleet;
 use crate::batch::plan::{Planner, Times};
 use crate::batch::table::{Command as Batch, End, Table as Jobs};
@@ -116,10 +116,19 @@
             let Some(job) = table.live.get(&end.task.job) else { continue };
             let Some(task) = job.task(&end.task) else { continue };
             let Some(run) = job.run(&end.task) else { continue };
-            if task.checkpoint.is_empty() {
-                let took_ms = wall_ms().saturating_sub(run.placed_ms);
-                self.estimates.learn(&job.queue, took_ms);
+            let Some(session) = self.fleet.session(&run.worker) else { continue };
+            let step = &job.spec.steps[end.task.step as usize];
+            let beat = &session.beat;
+            let is_far = !step.data_rack.is_empty() && step.data_rack != beat.rack;
+            if !task.checkpoint.is_empty() || is_far || step.is_lasting {
+                continue;
             }
+            self.estimates.learn(&Sample {
+                queue: &job.queue,
+                zone: &beat.zone,
+                declared_ms: step.estimate_ms,
+                took_ms: wall_ms().saturating_sub(run.placed_ms),
+            });
         }
     }
 }
