Room for waiting gangs is held back where it empties first

Cause: what was held back for a gang were only seats that were free at that moment, so small tasks took each accelerator that ended and a worker that the gang needs whole never emptied. Now the seats that are expected to be free first are held, by the progress of the runs on them. Also one place for a worker's bound of tasks, and the inputs of a verdict (expected run time, slack).

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -379,3 +379,21 @@
         occurrence.steps.get(name.step as usize)?.tasks.get(name.index as usize)
     }
 }
+
+/// All runs of a job that have a place.
+pub fn active_runs(job: &Job) -> impl Iterator<Item = (Name, &Run)> {
+    job.occurrences.iter().flat_map(move |(number, occurrence)| {
+        occurrence.steps.iter().enumerate().flat_map(move |(step, progress)| {
+            progress.tasks.iter().enumerate().filter_map(move |(index, task)| {
+                let State::Active(run) = &task.state else { return None };
+                let name = Name {
+                    job: job.id,
+                    occurrence: *number,
+                    step: step as u32,
+                    index: index as u32,
+                };
+                Some((name, run))
+            })
+        })
+    })
+}
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -2,6 +2,7 @@
 
 mod candidate;
 mod evict;
+mod reserve;
 mod seat;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -68,6 +69,10 @@
     pub seated: usize,
     /// Runs that are stopped for it.
     pub evicted: Vec<(Name, u32)>,
+    /// Expected run time of its tasks, in milliseconds.
+    pub run_ms: u64,
+    /// Time left until it must begin to complete on time, in milliseconds; negative where it is late.
+    pub slack_ms: i64,
     /// Outcome in words.
     pub reason: &'static str,
 }
@@ -140,6 +145,23 @@
     }
 }
 
+/// Racks that may hold the step together, each a group of places.
+fn groups(board: &Board<'_>, candidate: &Candidate<'_>) -> Vec<Vec<usize>> {
+    let step = candidate.step;
+    let of_pool = board.racks.iter().filter(|(key, _)| key.0 == candidate.job.terms.pool);
+    if candidate.is_last_call(&board.view) {
+        return vec![of_pool.flat_map(|(_, members)| members.clone()).collect()];
+    }
+    if !step.data_rack.is_empty() {
+        let near = of_pool.filter(|(key, _)| key.1 == step.data_rack);
+        return near.map(|(_, members)| members.clone()).collect();
+    }
+    if step.is_rack_local {
+        return of_pool.map(|(_, members)| members.clone()).collect();
+    }
+    vec![of_pool.flat_map(|(_, members)| members.clone()).collect()]
+}
+
 /// Whether these places could hold a step if they were empty: the whole of a gang, one task of
 /// another step.
 fn holds<'a>(places: impl Iterator<Item = &'a Place>, step: &Step) -> bool {
@@ -254,12 +276,8 @@
         }
         self.searches += 1;
         let found = self.evictor.find(&self.board, candidate)?;
-        self.plan.verdicts.push(Verdict {
-            key: candidate.key,
-            seated: 0,
-            evicted: found.victims.clone(),
-            reason: "stops less urgent runs",
-        });
+        let verdict = candidate.verdict(&self.view, 0, "stops less urgent runs");
+        self.plan.verdicts.push(Verdict { evicted: found.victims.clone(), ..verdict });
         self.plan.round.stops.extend(found.victims);
         hold_back(&mut self.board, candidate, &found.seats);
         Some(found.seats)
@@ -273,7 +291,7 @@
             return;
         }
         self.reserved += 1;
-        if let Some(held) = seat::reserve(&self.board, candidate) {
+        if let Some(held) = reserve::find(&self.board, candidate) {
             hold_back(&mut self.board, candidate, &held);
         }
     }
@@ -297,13 +315,7 @@
             });
         }
     }
-    let reason = seats.reason;
-    plan.verdicts.push(Verdict {
-        key: candidate.key,
-        seated: seats.count(),
-        evicted: Vec::new(),
-        reason,
-    });
+    plan.verdicts.push(candidate.verdict(&board.view, seats.count(), seats.reason));
 }
 
 fn hold_back(board: &mut Board<'_>, candidate: &Candidate<'_>, seats: &BTreeMap<String, u64>) {
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Key, View};
+use super::{Key, Verdict, View};
 use crate::batch::job::{Job, Occurrence, Progress, Step};
 
 /// Multiple of its objective after which a job earns its caller nothing any more.
@@ -53,6 +53,19 @@
         self.step.is_gang.then(|| runs.max().unwrap_or(0) + 1)
     }
 
+    /// What is said of it where it gets `seated` seats.
+    pub(super) fn verdict(&self, view: &View<'_>, seated: usize, reason: &'static str) -> Verdict {
+        let latest_ms = self.objective_ms as i64 - self.rest_ms as i64;
+        Verdict {
+            key: self.key,
+            seated,
+            evicted: Vec::new(),
+            run_ms: self.run_ms,
+            slack_ms: latest_ms - view.wall_ms as i64,
+            reason,
+        }
+    }
+
     /// What two candidates share that find room at the same time.
     pub(super) fn shape(&self) -> Shape {
         let step = self.step;
--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::seat::{active_runs, has_label, held_by, is_unlucky};
-use super::{Board, Candidate, View};
-use crate::batch::job::{Demand, Job, Name};
+use super::seat::{bound_on, has_label, is_unlucky};
+use super::{Board, Candidate, View, groups};
+use crate::batch::job::{Demand, Job, Name, active_runs};
 
 /// Weight of an accelerator against a core in the cost of lost work.
 const ACCELERATOR_CORES: u64 = 8;
@@ -103,23 +103,6 @@
     }
 }
 
-// Racks that may hold the step together, each a group of places.
-fn groups(board: &Board<'_>, candidate: &Candidate<'_>) -> Vec<Vec<usize>> {
-    let step = candidate.step;
-    let of_pool = board.racks.iter().filter(|(key, _)| key.0 == candidate.job.terms.pool);
-    if candidate.is_last_call(&board.view) {
-        return vec![of_pool.flat_map(|(_, members)| members.clone()).collect()];
-    }
-    if !step.data_rack.is_empty() {
-        let near = of_pool.filter(|(key, _)| key.1 == step.data_rack);
-        return near.map(|(_, members)| members.clone()).collect();
-    }
-    if step.is_rack_local {
-        return of_pool.map(|(_, members)| members.clone()).collect();
-    }
-    vec![of_pool.flat_map(|(_, members)| members.clone()).collect()]
-}
-
 // Seats on one place, each with what must stop for it, cheapest first.
 fn slots_on(
     board: &Board<'_>,
@@ -133,11 +116,7 @@
     if !has_label(place, &step.label) || is_unlucky(board, candidate, place) {
         return Vec::new();
     }
-    let mut bound = candidate.tasks.len() as u64;
-    if step.per_worker > 0 {
-        let left = u64::from(step.per_worker).saturating_sub(held_by(candidate, &place.worker));
-        bound = bound.min(left);
-    }
+    let bound = bound_on(candidate, place);
     let mut free = place.free;
     let mut slots = Vec::new();
     let mut pending: Vec<usize> = Vec::new();
--- a/src/batch/plan/seat.rs
+++ b/src/batch/plan/seat.rs
@@ -1,10 +1,8 @@
 //! Seats for the tasks of one step.
 
-use std::collections::BTreeMap;
-
 use super::{Board, Candidate};
 use crate::batch::fleet::Place;
-use crate::batch::job::{Job, Name, State};
+use crate::batch::job::State;
 
 /// Wait for room near the data before a step goes elsewhere, in milliseconds: about one end of a
 /// run on a busy rack.
@@ -73,29 +71,6 @@
     Seats { places: fill(candidate, all), reason: "where there is room" }
 }
 
-/// Workers on which room for a gang is held back from less urgent work: those of the rack that
-/// comes nearest to holding it.
-pub(super) fn reserve(
-    board: &Board<'_>,
-    candidate: &Candidate<'_>,
-) -> Option<BTreeMap<String, u64>> {
-    let mut best: Option<Vec<(usize, u64)>> = None;
-    for (key, members) in &board.racks {
-        let is_near = candidate.step.data_rack.is_empty() || key.1 == candidate.step.data_rack;
-        if key.0 != candidate.job.terms.pool || !is_near {
-            continue;
-        }
-        let found = slots(board, candidate, members);
-        let total = |slots: &Vec<(usize, u64)>| slots.iter().map(|(_, count)| *count).sum::<u64>();
-        if best.as_ref().is_none_or(|held| total(&found) > total(held)) {
-            best = Some(found);
-        }
-    }
-    let held = best?;
-    let named = held.into_iter().map(|(at, count)| (board.places[at].worker.clone(), count));
-    Some(named.collect())
-}
-
 fn may_go_far(board: &Board<'_>, candidate: &Candidate<'_>) -> bool {
     if candidate.is_last_call(&board.view) {
         return true;
@@ -164,13 +139,7 @@
         if !has_label(place, &step.label) || is_unlucky(board, candidate, place) {
             continue;
         }
-        let mut fits = place.free.fits(&step.demand, step.is_filler);
-        if step.per_worker > 0 {
-            let bound = u64::from(step.per_worker);
-            fits = fits.min(bound.saturating_sub(held_by(candidate, &place.worker)));
-        }
-        // More than there are tasks says nothing, and tasks that take nothing fit without end.
-        let fits = fits.min(candidate.tasks.len() as u64);
+        let fits = place.free.fits(&step.demand, step.is_filler).min(bound_on(candidate, place));
         if fits > 0 {
             found.push((*at, fits));
         }
@@ -198,8 +167,18 @@
     candidate.tasks.iter().any(failed)
 }
 
+/// Most tasks of the step that a worker may be given. More than there are tasks says nothing, and
+/// tasks that take nothing fit without end.
+pub(super) fn bound_on(candidate: &Candidate<'_>, place: &Place) -> u64 {
+    let tasks = candidate.tasks.len() as u64;
+    match u64::from(candidate.step.per_worker) {
+        0 => tasks,
+        bound => tasks.min(bound.saturating_sub(held_by(candidate, &place.worker))),
+    }
+}
+
 // Tasks of the step that have a place on a worker.
-pub(super) fn held_by(candidate: &Candidate<'_>, worker: &str) -> u64 {
+fn held_by(candidate: &Candidate<'_>, worker: &str) -> u64 {
     let tasks = &candidate.progress.tasks;
     let on = |state: &State| matches!(state, State::Active(run) if run.worker == worker);
     tasks.iter().filter(|task| on(&task.state)).count() as u64
@@ -223,21 +202,3 @@
     }
     places
 }
-
-/// All runs that have a place, with their jobs.
-pub(super) fn active_runs(job: &Job) -> impl Iterator<Item = (Name, &crate::batch::job::Run)> {
-    job.occurrences.iter().flat_map(move |(number, occurrence)| {
-        occurrence.steps.iter().enumerate().flat_map(move |(step, progress)| {
-            progress.tasks.iter().enumerate().filter_map(move |(index, task)| {
-                let State::Active(run) = &task.state else { return None };
-                let name = Name {
-                    job: job.id,
-                    occurrence: *number,
-                    step: step as u32,
-                    index: index as u32,
-                };
-                Some((name, run))
-            })
-        })
-    })
-}
