Heartbeats that are held are answered when a gang breaks or a job is cancelled

Cause: runs that must stop since another member failed, or since their job was cancelled, were told so with the next heartbeat, up to 600 ms later, and the news of their ends waited as long. Their workers are woken now. The line of a placement has the expected run time and the slack. Test: a held heartbeat is answered within 300 ms of a cancel, the best of five.

--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -1,12 +1,13 @@
 //! What callers and operators ask of the leader.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::{Control, propose};
 use crate::batch::call::{Answer, Target};
 use crate::batch::document::{Document, Queue};
 use crate::batch::fleet::lease_bound_ms;
-use crate::batch::job::{Id, Phase, Spec};
+use crate::batch::job::{Id, Phase, Spec, active_runs};
 use crate::batch::plan::impossible_step;
 use crate::batch::table::{Command as Batch, Submission, Table};
 use crate::error::{Code, Error, Result};
@@ -60,17 +61,23 @@
 
 pub(super) async fn cancel(control: &Control, target: &Target) -> Result<Answer> {
     control.group.read().await?;
-    let id = {
+    let (id, workers) = {
         let machine = control.machine.lock();
         let (_, rest, _) = authorize(&machine.batch.document, target)?;
         let id = job_id(rest)?;
         if machine.batch.job(id).is_none() {
             return Err(Error::not_run(Code::KeyExpired, "no such job"));
         }
-        id
+        let runs = machine.batch.live.get(&id).into_iter().flat_map(active_runs);
+        let workers: BTreeSet<String> = runs.map(|(_, run)| run.worker.clone()).collect();
+        (id, workers)
     };
     propose(control, Batch::Cancel(id)).await?;
-    tracing::info!(target: DECISION, job = %id, "job cancelled");
+    tracing::info!(target: DECISION, job = %id, workers = workers.len(), "job cancelled");
+    {
+        let desk = control.dispatch.desk.lock();
+        workers.iter().for_each(|worker| desk.fleet.wake(worker));
+    }
     Metrics::global().count_job("cancelled");
     control.dispatch.changed.notify_one();
     Ok(Answer::Done)
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -7,7 +7,7 @@
 
 use super::{Control, Desk, propose};
 use crate::batch::fleet::lease_bound_ms;
-use crate::batch::job::Id;
+use crate::batch::job::{Id, Name, active_runs};
 use crate::batch::plan::{Plan, View};
 use crate::batch::table::{Command as Batch, Round};
 use crate::error::Result;
@@ -42,8 +42,10 @@
     if !news.is_empty() {
         log_ends(control, &news);
         let jobs: BTreeSet<Id> = news.ends.iter().map(|end| end.task.job).collect();
+        let beside = runs_of(control, &jobs);
         propose(control, Batch::Round(news)).await?;
         log_outcomes(control, &jobs);
+        touched.extend(no_longer_wanted(control, &beside));
     }
     let begun = Instant::now();
     let plan = decide(control);
@@ -64,6 +66,29 @@
     Ok(())
 }
 
+// Runs of these jobs that have a place and aren't to stop, with their workers.
+fn runs_of(control: &Control, jobs: &BTreeSet<Id>) -> Vec<(Name, u32, String)> {
+    let machine = control.machine.lock();
+    let mut runs = Vec::new();
+    for job in jobs.iter().filter_map(|id| machine.batch.live.get(id)) {
+        let wanted = active_runs(job).filter(|(_, run)| !run.is_stopping);
+        runs.extend(wanted.map(|(name, run)| (name, run.number, run.worker.clone())));
+    }
+    runs
+}
+
+// Workers of runs that must stop since a member of their gang failed or their job ended. They are
+// told at once: a held heartbeat would keep both the order and the news of the end.
+fn no_longer_wanted(control: &Control, runs: &[(Name, u32, String)]) -> BTreeSet<String> {
+    let machine = control.machine.lock();
+    let is_wanted = |name: &Name, number: u32| {
+        let held = machine.batch.active(name).filter(|run| run.number == number);
+        held.is_some_and(|run| !run.is_stopping)
+    };
+    let stopping = runs.iter().filter(|(name, number, _)| !is_wanted(name, *number));
+    stopping.map(|(_, _, worker)| worker.clone()).collect()
+}
+
 // What ended, what is lost, and which occurrences are due.
 fn gather(control: &Control) -> Round {
     let now_ms = control.timer.now_ms();
@@ -164,11 +189,12 @@
     for verdict in &plan.verdicts {
         let (job, occurrence, step) = verdict.key;
         let (seated, evicted, reason) = (verdict.seated, verdict.evicted.len(), verdict.reason);
+        let (run_ms, slack_ms) = (verdict.run_ms, verdict.slack_ms);
         for (task, run) in &verdict.evicted {
             tracing::info!(target: DECISION, %task, run, yields_to = %job, "run is stopped for a more urgent job");
         }
         let waiting = plan.waiting;
-        tracing::info!(target: DECISION, %job, occurrence, step, seated, evicted, waiting, reason, "placement");
+        tracing::info!(target: DECISION, %job, occurrence, step, seated, evicted, waiting, run_ms, slack_ms, reason, "placement");
     }
 }
 
