--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -12,11 +12,11 @@
 const EVICTION_MS: u64 = 900;
 /// What an urgent job may cost others beside as much work as it does itself, in core-milliseconds: its
 /// worth does not shrink to nothing with its size.
-const WORTH: u64 = 200_000;
+const WORTH: u64 = 800_000;
 /// Part of that price, as a divisor, which it pays when it is handed in.
-const EARLY_SHARE: u64 = 4;
+const EARLY_SHARE: u64 = 1;
 /// Part of that price, as a divisor, which it pays once it is late.
-const LATE_SHARE: u64 = 4;
+const LATE_SHARE: u64 = 2;
 /// Time before the bound of a guarantee from which on it is kept at any price, in milliseconds: three
 /// evictions, since a worker that is silent may keep the room of the first one.
 const DUE_MS: u64 = 3 * EVICTION_MS;
