Evictions spare what need not stop, and the least urgent work goes first

Change: what need not stop is taken back, the dearest first; lost work of a class weighs one time more for each class below it.

--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -13,8 +13,6 @@
 /// What an urgent job may cost others beside as much work as it does itself, in core-milliseconds: its
 /// worth does not shrink to nothing with its size.
 const WORTH: u64 = 800_000;
-/// Part of that price, as a divisor, which it pays when it is handed in.
-const EARLY_SHARE: u64 = 1;
 /// Part of that price, as a divisor, which it pays once it is late.
 const LATE_SHARE: u64 = 2;
 /// Time before the bound of a guarantee from which on it is kept at any price, in milliseconds: three
@@ -94,8 +92,7 @@
         u8::from(self.waited_ms > super::seat::PATIENCE_MS) + u8::from(self.is_late)
     }
 
-    /// Most that others may lose for it now, in core-milliseconds: the more, the less time it has left
-    /// to begin, and without bound where a guarantee is due.
+    /// Most that others may lose for it, in core-milliseconds: without bound where a guarantee is due.
     pub fn price(&self, view: &View<'_>) -> u64 {
         if self.is_due(view) {
             return u64::MAX;
@@ -105,14 +102,7 @@
         }
         let tasks = self.tasks.len() as u64;
         let worth = WORTH + tasks * self.step.demand.work(self.run_ms);
-        if self.is_late {
-            return worth / LATE_SHARE;
-        }
-        let begun_ms = view.wall_ms - self.waited_ms;
-        let latest_ms = self.objective_ms.saturating_sub(self.rest_ms + EVICTION_MS);
-        let span_ms = latest_ms.saturating_sub(begun_ms).max(1);
-        let used_ms = self.waited_ms.min(span_ms);
-        worth * (span_ms + used_ms * (EARLY_SHARE - 1)) / (span_ms * EARLY_SHARE)
+        if self.is_late { worth / LATE_SHARE } else { worth }
     }
 
     /// Whether less urgent work may stop for it.
--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -4,7 +4,7 @@
 
 use super::seat::{bound_on, has_label, is_unlucky};
 use super::{Board, Candidate, View, groups};
-use crate::batch::job::{Demand, Job, Name, active_runs};
+use crate::batch::job::{Demand, Job, Name, Step, active_runs};
 
 /// Cost of a stop beside the lost work, in core-milliseconds: what starts again waits again.
 const STOP_COST: u64 = 20_000;
@@ -37,8 +37,15 @@
 #[derive(Debug, Default)]
 struct Index {
     victims: Vec<Victim>,
-    // By worker: victim and what its runs there free.
-    held: BTreeMap<String, Vec<(usize, Demand, bool)>>,
+    held: BTreeMap<String, Vec<Held>>,
+}
+
+/// A run of a victim, with what its stop frees on the worker.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    victim: usize,
+    demand: Demand,
+    is_filler: bool,
 }
 
 struct Slot {
@@ -113,23 +120,24 @@
     let bound = bound_on(candidate, place);
     let mut free = place.free;
     let mut slots = Vec::new();
-    let mut pending: Vec<usize> = Vec::new();
-    let mut cost = 0;
+    let mut pending: Vec<Held> = Vec::new();
     let held = index.held.get(&place.worker).map_or(&[][..], Vec::as_slice);
-    let mut rest = held.iter().filter(|(victim, _, _)| {
-        index.victims[*victim].priority > candidate.job.terms.priority && !stopped.contains(victim)
+    let mut rest = held.iter().filter(|held| {
+        index.victims[held.victim].priority > candidate.job.terms.priority
+            && !stopped.contains(&held.victim)
     });
     while (slots.len() as u64) < bound {
         if free.fits(&step.demand, step.is_filler) > 0 {
+            spare(&mut pending, &mut free, step);
+            let cost = pending.iter().map(|held| index.victims[held.victim].cost).sum();
+            let victims = pending.drain(..).map(|held| held.victim).collect();
             free.take(&step.demand, step.is_filler);
-            slots.push(Slot { place: at, cost, victims: std::mem::take(&mut pending) });
-            cost = 0;
+            slots.push(Slot { place: at, cost, victims });
             continue;
         }
-        let Some((victim, demand, is_filler)) = rest.next() else { break };
-        free.give(demand, *is_filler);
-        cost += index.victims[*victim].cost;
-        pending.push(*victim);
+        let Some(held) = rest.next() else { break };
+        free.give(&held.demand, held.is_filler);
+        pending.push(*held);
     }
     // A later seat rests on the victims of the earlier ones.
     let mut so_far = Vec::new();
@@ -140,6 +148,19 @@
     slots
 }
 
+// Takes back, the dearest first, what need not stop for a task of the step to fit.
+fn spare(pending: &mut Vec<Held>, free: &mut Demand, step: &Step) {
+    for at in (0..pending.len()).rev() {
+        let held = pending[at];
+        let mut less = *free;
+        less.take(&held.demand, held.is_filler);
+        if less.fits(&step.demand, step.is_filler) > 0 {
+            *free = less;
+            pending.remove(at);
+        }
+    }
+}
+
 // What it costs that a job's run begins again, beside the work itself.
 fn late_cost(view: &View<'_>, job: &Job) -> u64 {
     let rest_ms = super::candidate::longest_ms(view, job);
@@ -155,6 +176,9 @@
 impl Index {
     fn new(view: &View<'_>) -> Self {
         let mut index = Self::default();
+        let priorities = view.table.document.queues.iter().map(|queue| queue.terms.priority);
+        let live = view.table.live.values().map(|job| job.terms.priority);
+        let lowest = priorities.chain(live).max().unwrap_or(0);
         for job in view.table.live.values() {
             let mut gangs: BTreeMap<(u32, u32), usize> = BTreeMap::new();
             let late_cost = late_cost(view, job);
@@ -166,7 +190,8 @@
                 let ran_ms = view.wall_ms.saturating_sub(run.placed_ms);
                 let kept_ms = view.times.checkpoint_ms + view.times.restore_ms;
                 let lost_ms = if step.is_checkpointing { ran_ms.min(kept_ms) } else { ran_ms };
-                let cost = step.demand.work(lost_ms) + STOP_COST;
+                let rank = lowest - job.terms.priority;
+                let cost = step.demand.work(lost_ms) * (1 + u64::from(rank)) + STOP_COST;
                 let fresh = index.victims.len();
                 let at = if step.is_gang {
                     *gangs.entry((name.occurrence, name.step)).or_insert(fresh)
@@ -181,11 +206,11 @@
                 victim.runs.push((name, run.number));
                 victim.cost += cost;
                 let held = index.held.entry(run.worker.clone()).or_default();
-                held.push((at, step.demand, step.is_filler));
+                held.push(Held { victim: at, demand: step.demand, is_filler: step.is_filler });
             }
         }
         for held in index.held.values_mut() {
-            held.sort_by_key(|(at, _, _)| index.victims[*at].cost);
+            held.sort_by_key(|held| index.victims[held.victim].cost);
         }
         index
     }
