Silence of a worker says nothing about the progress of its runs

Cause: a run counted as stuck once the leader's clock was 2.5 s past its last progress, also where no heartbeat had come since: runs on workers that are cut off or wait for a new leader were stopped. Now progress is judged from one heartbeat to the next, and 1.5 s without any are enough. The test failed before by its own assertion (its call had one more argument).

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -21,8 +21,9 @@
 const EVACUATE_MS: u64 = 1_000;
 /// Silence after which a worker gets no new work, in milliseconds: two missed heartbeats.
 const SILENT_MS: u64 = 2_500;
-/// Time without any progress after which a run counts as stuck, in milliseconds.
-const STUCK_MS: u64 = 2_500;
+/// Time without any progress after which a run counts as stuck, in milliseconds: a percent of a run
+/// far from its data, and the restore of a checkpoint, take less.
+const STUCK_MS: u64 = 1_500;
 /// Failed runs in a row after which a worker counts as sick.
 const FAILURES: u32 = 2;
 /// Silence after which a worker no longer counts as part of its pool, in milliseconds: longer than
@@ -104,6 +105,8 @@
     pub incarnation: u64,
     /// Pool.
     pub pool: String,
+    /// Availability zone.
+    pub zone: String,
     /// Rack.
     pub rack: String,
     /// Labels.
@@ -223,12 +226,12 @@
         ends
     }
 
-    /// Runs that make no progress on workers that are heard.
-    pub fn stuck(&self, table: &Table, now_ms: u64) -> Vec<(Name, u32)> {
+    /// Runs whose workers are heard and report no progress; silence says nothing about them.
+    pub fn stuck(&self, table: &Table) -> Vec<(Name, u32)> {
         let mut stuck = Vec::new();
         for session in self.sessions.values() {
             for ((name, run), watch) in &session.watched {
-                if now_ms < watch.moved_ms + STUCK_MS {
+                if session.heard_ms < watch.moved_ms + STUCK_MS {
                     continue;
                 }
                 let held = table.active(name).filter(|held| held.number == *run);
@@ -275,6 +278,7 @@
                 worker: worker.clone(),
                 incarnation: beat.incarnation,
                 pool: beat.pool.clone(),
+                zone: beat.zone.clone(),
                 rack: beat.rack.clone(),
                 labels: beat.labels.clone(),
                 capacity: beat.capacity,
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -111,7 +111,7 @@
     let machine = control.machine.lock();
     let mut desk = control.dispatch.desk.lock();
     let Desk { fleet, planner, estimates, .. } = &mut *desk;
-    let stuck = fleet.stuck(&machine.batch, now_ms);
+    let stuck = fleet.stuck(&machine.batch);
     let evacuated = fleet.evacuated(&machine.batch, now_ms);
     for (name, _) in &stuck {
         if let Some(run) = machine.batch.active(name) {
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -293,7 +293,18 @@
         desk.hear("w0", |beat| beat.running[0].percent = percent);
         desk.now_ms += 500;
     }
-    assert_eq!(desk.fleet.stuck(&desk.table, desk.now_ms).len(), stuck);
+    assert_eq!(desk.fleet.stuck(&desk.table).len(), stuck);
+}
+
+/// Cuts and changes of leader leave workers unheard for seconds, while their runs go on.
+#[test]
+fn a_run_on_a_silent_worker_is_not_stuck() {
+    let mut desk = running();
+    desk.hear("w0", |beat| beat.running[0].percent = 50);
+    desk.now_ms += 5_000;
+    assert!(desk.fleet.stuck(&desk.table).is_empty());
+    desk.hear("w0", |beat| beat.running[0].percent = 90);
+    assert!(desk.fleet.stuck(&desk.table).is_empty());
 }
 
 /// A task may fail by its own fault; a worker that fails two in a row is sick.
