The daemon's listeners bound heads and connections, and survive SIGHUP

Cause: they ran on the library's own server, which stops on SIGHUP and bounds neither the time of a head nor the number of connections. Its router is now served by the project's listener, as the platform's side is; a hangup is logged.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -138,6 +138,7 @@
     /// # Errors
     /// Where a listener can't be bound.
     pub async fn run(self) -> miette::Result<()> {
+        tokio::spawn(signal::note_hangups());
         let (done, drained) = watch::channel(false);
         let listeners = listen::run(self.state.entry.clone(), drained);
         tokio::pin!(listeners);
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -3,16 +3,20 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use futures_util::FutureExt;
+use http::{Request, Response};
+use hyper::body::Incoming;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use volo::Service;
 use volo::net::Address;
-use volo_http::server::Server;
+use volo_http::body::Body;
+use volo_http::context::ServerContext;
 use volo_http::server::route::Router;
 
 use super::{Entry, caller, health, http as shared, operator, platform};
+use crate::listener::{Bounds, Handler, serve_handler};
 
-/// Serves until a signal asks for a planned stop and the drain is over.
+/// Serves until the drain is over and every request in progress is answered.
 ///
 /// # Errors
 /// Where a listener can't be bound.
@@ -26,7 +30,12 @@
     ];
     let mut running = JoinSet::new();
     for (address, router) in listeners {
-        running.spawn(serve(address, router, drained.clone()));
+        let routes = Arc::new(Routes { address, router: router.fallback(shared::missing) });
+        let stop = drained.clone();
+        running.spawn(async move {
+            let ended = serve_handler(address, Bounds::default(), routes, stop).await;
+            ended.map_err(|e| miette::miette!("listener {address}: {e}"))
+        });
     }
     while let Some(ended) = running.join_next().await {
         ended.map_err(|e| miette::miette!("a listener died: {e}"))??;
@@ -34,20 +43,21 @@
     Ok(())
 }
 
-// The library's own grace is bounded; its hook is not, so the drain is waited for there.
-async fn serve(
+// The library's own server stops on SIGHUP and bounds neither heads nor connections.
+struct Routes {
     address: SocketAddr,
     router: Router,
-    mut drained: watch::Receiver<bool>,
-) -> miette::Result<()> {
-    let hook = move || {
-        async move {
-            let _ = drained.wait_for(|done| *done).await;
+}
+
+impl Handler for Routes {
+    type Body = Body;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let mut context = ServerContext::new(Address::from(self.address));
+        let request = request.map(Body::from_incoming);
+        match self.router.call(&mut context, request).await {
+            Ok(response) => response,
+            Err(never) => match never {},
         }
-        .boxed()
-    };
-    let router = router.fallback(shared::missing);
-    let server = Server::new(router).http1_only().register_shutdown_hook(hook);
-    let ended = server.run(Address::from(address)).await;
-    ended.map_err(|e| miette::miette!("listener {address}: {e}"))
+    }
 }
--- a/src/kernel/signal.rs
+++ b/src/kernel/signal.rs
@@ -14,3 +14,14 @@
         _ = int.recv() => {}
     }
 }
+
+/// Notes each SIGHUP, which would end a process that does not listen for it.
+pub async fn note_hangups() {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        tracing::warn!("SIGHUP can't be listened for and ends the process");
+        return;
+    };
+    while hangup.recv().await.is_some() {
+        tracing::info!("hangup: settings are read at the start only");
+    }
+}
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -49,6 +49,35 @@
     fn answer(&self, request: Request<Bytes>) -> impl Future<Output = Response<Bytes>> + Send;
 }
 
+/// What handles requests whose bodies are still on their way; it bounds them itself.
+pub trait Handler: Send + Sync + 'static {
+    /// Body of its answers.
+    type Body: Body<Data = Bytes, Error: Into<BoxError>> + Send + 'static;
+
+    /// Answers one request.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Self::Body>> + Send;
+}
+
+/// Error of a body.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+// Hands a service its requests once their bodies have arrived whole.
+struct Whole<S> {
+    service: Arc<S>,
+    bounds: Bounds,
+}
+
+impl<S: Service> Handler for Whole<S> {
+    type Body = Full<Bytes>;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        respond(&*self.service, self.bounds, request).await.map(Full::new)
+    }
+}
+
 /// Serves until the stop signal is set and every request in progress is answered.
 ///
 /// # Errors
@@ -58,6 +87,19 @@
     bounds: Bounds,
     service: Arc<S>,
     stop: watch::Receiver<bool>,
+) -> std::io::Result<()> {
+    serve_handler(address, bounds, Arc::new(Whole { service, bounds }), stop).await
+}
+
+/// As [`serve`], for a handler.
+///
+/// # Errors
+/// Where the address can't be bound.
+pub async fn serve_handler<H: Handler>(
+    address: SocketAddr,
+    bounds: Bounds,
+    handler: Arc<H>,
+    stop: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
     let slots = Arc::new(Semaphore::new(bounds.connections));
@@ -75,9 +117,9 @@
             tracing::warn!(%address, "connection refused: as many as allowed are open");
             continue;
         };
-        let (service, stop) = (service.clone(), stop.clone());
+        let (handler, stop) = (handler.clone(), stop.clone());
         tokio::spawn(async move {
-            connection(stream, bounds, service, stop).await;
+            connection(stream, bounds, handler, stop).await;
             drop(slot);
         });
     }
@@ -92,24 +134,24 @@
     let _ = stop.wait_for(|stop| *stop).await;
 }
 
-async fn connection<S: Service>(
+async fn connection<H: Handler>(
     stream: TcpStream,
     bounds: Bounds,
-    service: Arc<S>,
+    handler: Arc<H>,
     mut stop: watch::Receiver<bool>,
 ) {
     // Answers are small; waiting to fill a packet would only delay them.
     let _ = stream.set_nodelay(true);
     let is_stopping = stop.clone();
     let answer = service_fn(move |request: Request<Incoming>| {
-        let (service, is_stopping) = (service.clone(), is_stopping.clone());
+        let (handler, is_stopping) = (handler.clone(), is_stopping.clone());
         async move {
-            let mut response = respond(&*service, bounds, request).await;
+            let mut response = handler.handle(request).await;
             if *is_stopping.borrow() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, std::convert::Infallible>(response.map(Full::new))
+            Ok::<_, std::convert::Infallible>(response)
         }
     });
     let mut builder = http1::Builder::new();
