--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -25,7 +25,7 @@
 /// Candidates for which evictions are sought in one decision; it bounds the time of a decision.
 const EVICTIONS: usize = 6;
 /// Gangs for which room is held back from less urgent work in one decision.
-const RESERVATIONS: usize = 2;
+const RESERVATIONS: usize = 5;
 
 /// What a decision looks at.
 #[derive(Clone, Copy)]
