--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -1,7 +1,10 @@
 //! Heartbeats of workers: heard, held, and answered with orders.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use super::{Control, Result};
 use crate::batch::call::Answer;
 use crate::batch::table::End;
@@ -26,51 +29,71 @@
 
 pub(super) async fn answer(control: &Control, beat: Beat) -> Result<Answer> {
     control.group.read().await?;
-    let dispatch = &control.dispatch;
-    let now_ms = control.timer.now_ms();
+    let begun_ms = control.timer.now_ms();
     let worker = beat.worker.clone();
-    let (heard, hold_ms, wake) = {
-        let machine = control.machine.lock();
-        let mut desk = dispatch.desk.lock();
-        desk.renew(control);
-        let heard = desk.fleet.hear(beat, &machine.batch, dispatch.lease_ms, now_ms);
-        if heard.is_stale {
-            tracing::debug!(target: DECISION, worker, "late heartbeat dropped");
-            return Ok(Answer::Orders(Box::default()));
-        }
-        desk.learn(&machine.batch, &heard.ends);
-        desk.ends.extend(heard.ends.iter().cloned());
-        let orders = desk.fleet.orders(&worker, &machine.batch);
-        let has_orders = !orders.start.is_empty() || !orders.stop.is_empty();
-        let session = desk.fleet.session(&worker);
-        if session.is_some_and(|held| held.is_about_to_leave(now_ms)) {
-            dispatch.changed.notify_one();
-        }
-        let next_end_ms = session.and_then(|held| held.next_end_ms(&machine.batch, wall_ms()));
-        let hold_ms = hold_ms(has_orders, next_end_ms);
-        (heard, hold_ms, session.map(|held| held.orders.clone()))
+    let Some(heard) = hear(control, beat, begun_ms) else {
+        tracing::debug!(target: DECISION, worker, "late heartbeat dropped");
+        return Ok(Answer::Orders(Box::default()));
     };
-    if !heard.ends.is_empty() {
-        await_round(control, &heard.ends).await;
-    } else if let (Some(hold_ms), Some(wake)) = (hold_ms, wake) {
-        // The round that has orders for the worker wakes this heartbeat.
-        let _ = tokio::time::timeout(Duration::from_millis(hold_ms), wake.notified()).await;
+    let (hold_ms, wake) = (heard.hold_ms, heard.wake);
+    let mut orders = heard.orders;
+    if !heard.ends.is_empty() || hold_ms.is_some() {
+        if heard.ends.is_empty() {
+            // The round that has orders for the worker wakes this heartbeat.
+            let held = Duration::from_millis(hold_ms.unwrap_or(0));
+            let _ = tokio::time::timeout(held, wake.notified()).await;
+        } else {
+            await_round(control, &heard.ends).await;
+        }
+        // A lease needs a leader that is one now.
+        control.group.read().await?;
+        let machine = control.machine.lock();
+        orders = control.dispatch.desk.lock().fleet.orders(&worker, &machine.batch);
     }
-    control.group.read().await?;
-    let machine = control.machine.lock();
-    let mut desk = dispatch.desk.lock();
-    let mut orders = desk.fleet.orders(&worker, &machine.batch);
-    orders.lease_ms = Some(dispatch.lease_ms);
+    let answered_ms = control.timer.now_ms() - begun_ms;
+    let interval_ms = control.dispatch.desk.lock().fleet.interval_ms();
+    let next_ms = if hold_ms.is_some() { NEXT_MS } else { NEAR_END_MS };
+    orders.lease_ms = Some(control.dispatch.lease_ms);
     orders.term = control.standing().term;
-    let answered_ms = control.timer.now_ms() - now_ms;
-    let least_ms = desk.fleet.interval_ms().saturating_sub(answered_ms);
-    orders.next_ms = least_ms.max(if hold_ms.is_some() { NEXT_MS } else { NEAR_END_MS });
+    orders.next_ms = next_ms.max(interval_ms.saturating_sub(answered_ms));
     orders.leader = control.settings.name.clone();
     log_orders(&worker, &orders);
     Metrics::global().record_beat(answered_ms as f64 / 1_000.0);
     Ok(Answer::Orders(Box::new(orders)))
 }
 
+// What a heartbeat meant, and how long its answer is held.
+struct Heard {
+    ends: Vec<End>,
+    orders: Orders,
+    hold_ms: Option<u64>,
+    wake: Arc<Notify>,
+}
+
+// Takes a heartbeat; `None` where it is late.
+fn hear(control: &Control, beat: Beat, now_ms: u64) -> Option<Heard> {
+    let dispatch = &control.dispatch;
+    let worker = beat.worker.clone();
+    let machine = control.machine.lock();
+    let mut desk = dispatch.desk.lock();
+    desk.renew(control);
+    let heard = desk.fleet.hear(beat, &machine.batch, dispatch.lease_ms, now_ms);
+    if heard.is_stale {
+        return None;
+    }
+    desk.learn(&machine.batch, &heard.ends);
+    desk.ends.extend(heard.ends.iter().cloned());
+    let orders = desk.fleet.orders(&worker, &machine.batch);
+    let has_orders = !orders.start.is_empty() || !orders.stop.is_empty();
+    let session = desk.fleet.session(&worker)?;
+    if session.is_about_to_leave(now_ms) {
+        dispatch.changed.notify_one();
+    }
+    let next_end_ms = session.next_end_ms(&machine.batch, wall_ms());
+    let wake = session.orders.clone();
+    Some(Heard { ends: heard.ends, orders, hold_ms: hold_ms(has_orders, next_end_ms), wake })
+}
+
 // How long a heartbeat is held for orders, if it is.
 fn hold_ms(has_orders: bool, next_end_ms: Option<u64>) -> Option<u64> {
     if has_orders {
