--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -113,15 +113,15 @@
     /// Whether its customer's guarantee is due, whatever that costs others. One whose bound was
     /// missed stays due as long as the job is of use.
     pub fn is_due(&self, view: &View<'_>) -> bool {
-        self.is_within(DUE_MS, view)
+        self.is_owed_within(DUE_MS, view)
     }
 
     /// Whether its customer's guarantee can only just be kept.
     pub fn is_last_call(&self, view: &View<'_>) -> bool {
-        self.is_within(LAST_CALL_MS, view)
+        self.is_owed_within(LAST_CALL_MS, view)
     }
 
-    fn is_within(&self, left_ms: u64, view: &View<'_>) -> bool {
+    fn is_owed_within(&self, left_ms: u64, view: &View<'_>) -> bool {
         let reclaim_ms = view.times.reclaim_ms;
         let is_owed = self.waited_ms < reclaim_ms || !self.is_hopeless;
         self.is_guaranteed && is_owed && self.waited_ms + left_ms >= reclaim_ms
--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::seat::{bound_on, has_label, is_unlucky};
+use super::seat::{bound_on, may_take};
 use super::{Board, Candidate, View, groups};
 use crate::batch::job::{Demand, Job, Name, Step, active_runs};
 
@@ -114,7 +114,7 @@
 ) -> Vec<Slot> {
     let step = candidate.step;
     let place = &board.places[at];
-    if !has_label(place, &step.label) || is_unlucky(board, candidate, place) {
+    if !may_take(board, candidate, place) {
         return Vec::new();
     }
     let bound = bound_on(candidate, place);
--- a/src/batch/plan/reserve.rs
+++ b/src/batch/plan/reserve.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::seat::{bound_on, has_label, is_unlucky};
+use super::seat::{bound_on, may_take};
 use super::{Board, Candidate, groups};
 use crate::batch::job::Demand;
 
@@ -57,7 +57,7 @@
 fn seats_on(board: &Board<'_>, candidate: &Candidate<'_>, at: usize) -> Vec<Seat> {
     let step = candidate.step;
     let place = &board.places[at];
-    if !has_label(place, &step.label) || is_unlucky(board, candidate, place) {
+    if !may_take(board, candidate, place) {
         return Vec::new();
     }
     let bound = bound_on(candidate, place);
@@ -83,6 +83,7 @@
     let view = &board.view;
     let place = &board.places[at];
     let session = view.fleet.session(&place.worker);
+    let slowness = view.estimates.slowness(&place.zone);
     let mut releases = Vec::new();
     for (name, run) in view.table.placed_on(&place.worker) {
         let Some(job) = view.table.live.get(&name.job) else { continue };
@@ -97,7 +98,8 @@
         } else if percent >= EARLY_PERCENT {
             ran_ms * u64::from(100 - percent.min(100)) / u64::from(percent)
         } else {
-            super::candidate::run_ms(view, job, step).saturating_sub(ran_ms)
+            let run_ms = super::candidate::run_ms(view, job, step) as f64 * slowness;
+            (run_ms as u64).saturating_sub(ran_ms)
         };
         let at_ms = view.wall_ms + left_ms.max(NEWS_MS);
         releases.push(Release { at_ms, demand: step.demand, is_filler: step.is_filler });
--- a/src/batch/plan/seat.rs
+++ b/src/batch/plan/seat.rs
@@ -136,7 +136,7 @@
     let mut found = Vec::new();
     for at in members {
         let place = &board.places[*at];
-        if !has_label(place, &step.label) || is_unlucky(board, candidate, place) {
+        if !may_take(board, candidate, place) {
             continue;
         }
         let fits = place.free.fits(&step.demand, step.is_filler).min(bound_on(candidate, place));
@@ -152,12 +152,17 @@
     found
 }
 
+/// Whether a worker may be given tasks of the step at all.
+pub(super) fn may_take(board: &Board<'_>, candidate: &Candidate<'_>, place: &Place) -> bool {
+    has_label(place, &candidate.step.label) && !is_unlucky(board, candidate, place)
+}
+
 pub(super) fn has_label(place: &Place, label: &str) -> bool {
     label.is_empty() || place.labels.iter().any(|held| held == label)
 }
 
 // A task that has just failed there goes elsewhere; later on the worker may be the only one left.
-pub(super) fn is_unlucky(board: &Board<'_>, candidate: &Candidate<'_>, place: &Place) -> bool {
+fn is_unlucky(board: &Board<'_>, candidate: &Candidate<'_>, place: &Place) -> bool {
     let tasks = &candidate.progress.tasks;
     let failed = |index: &u32| {
         let task = &tasks[*index as usize];
