--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -16,6 +16,9 @@
 use super::{Entry, caller, health, http as shared, operator, platform};
 use crate::listener::{Bounds, Handler, serve_handler};
 
+/// Connections of one listener at once: more than the 10,000 callers that a daemon was measured with.
+const CONNECTIONS: usize = 16_000;
+
 /// Serves until the drain is over and every request in progress is answered.
 ///
 /// # Errors
@@ -33,7 +36,8 @@
         let routes = Arc::new(Routes { address, router: router.fallback(shared::missing) });
         let stop = drained.clone();
         running.spawn(async move {
-            let ended = serve_handler(address, Bounds::default(), routes, stop).await;
+            let bounds = Bounds { connections: CONNECTIONS, ..Bounds::default() };
+            let ended = serve_handler(address, bounds, routes, stop).await;
             ended.map_err(|e| miette::miette!("listener {address}: {e}"))
         });
     }
