End a run by its absence only if the heartbeat follows an answer of this leader

Cause: a run that is to stop and stands neither under running nor under ended counted as never arrived.

Change: the absence of an inherited run counts only in a heartbeat that was composed after an answer of this leader: one that follows an answered one within the timeout of a call, on the worker's own clock (new field clock_ms, absent in frames of older daemons, which then prove nothing). Runs that this leader placed itself are told apart, since their start orders precede every newer heartbeat. Until then the worker gets an explicit stop, so that it rejects a late start, and is not slowed down. A full list of 500 ends proves nothing either.

Also: a run counted as stuck after 1.5 s without a new percent, so that every task of more than 150 s was stopped. The timeout is now ten times what one percent takes, by the run's own pace or its expected run time, at least 1.5 s and at most 6 h; it doubles each time that the task was stopped as stuck.

The fleet is split by job: sessions, health, progress.

--- a/examples/batch.rs
+++ b/examples/batch.rs
@@ -176,6 +176,7 @@
             worker: worker.clone(),
             incarnation: 1,
             sequence: self.sequence,
+            clock_ms: Some(self.now_ms),
             pool: "pool".into(),
             zone: format!("z{}", index % 3),
             capacity: WORKER_CAPACITY,
--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -1,13 +1,16 @@
 //! The leader's view of workers: heartbeats, leases, and the health of their runs.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+mod health;
+mod progress;
+mod session;
 
-use tokio::sync::Notify;
+use std::collections::BTreeMap;
 
+use super::estimate::Estimates;
 use super::job::{Resources, TaskId};
-use super::table::{End, Table};
+use super::table::{self, End, Table};
 use super::worker::{Exit, Heartbeat, Orders, Start};
+pub use session::Session;
 
 /// Divisor of a lease for the assumed clock drift of a worker: a clock that is 2% slow, doubled as
 /// a safety margin.
@@ -17,34 +20,21 @@
 /// Time after a worker announced its leave during which its last heartbeat is accepted, in
 /// milliseconds: the longest that a worker waits for an answer before it sends the next heartbeat.
 const LEAVE_GRACE_MS: u64 = 1_000;
-/// Time before a worker leaves at which its runs are stopped, in milliseconds: one round and one
-/// heartbeat to deliver the order, 400 ms for the stop, and one heartbeat that reports the ends.
-const EVACUATION_LEAD_MS: u64 = 1_000;
 /// Time without a heartbeat after which a worker gets no new work, in milliseconds: two missed
 /// heartbeats.
 const MAX_SILENCE_FOR_WORK_MS: u64 = 2_500;
-/// Time without progress after which a run counts as stuck, in milliseconds. One percent of a run
-/// far from its data, and the restore of a checkpoint, take less.
-const STUCK_RUN_TIMEOUT_MS: u64 = 1_500;
-/// Number of failed runs in a row after which a worker is excluded from new work.
-const MAX_FAILURES: u32 = 2;
 /// Time without a heartbeat after which a worker no longer counts as part of its pool, in
 /// milliseconds: longer than any lease.
 const MAX_SILENCE_IN_POOL_MS: u64 = 15_000;
 /// Time without a heartbeat after which a worker's session is removed, in milliseconds; its runs
 /// were declared lost long before.
 const SESSION_RETENTION_MS: u64 = 120_000;
-/// Run time before which a run with little progress is not expected to end, in milliseconds: hardly
-/// any task is shorter.
-const MIN_RUN_MS: u64 = 1_000;
-/// Duration of the first exclusion of a worker that failed or stalled a run, in milliseconds;
-/// doubles with each further exclusion.
-const EXCLUSION_MS: u64 = 1_500;
+/// Maximum number of ended runs in one heartbeat: while there are more, a run that is not listed may
+/// have ended.
+const MAX_REPORTED_ENDS: usize = 500;
 /// Heartbeats per second above which a leader asks its workers to send fewer. At this rate 0.4 of a
 /// core is about two thirds busy with 1,000 workers.
 const MAX_HEARTBEATS_PER_S: u64 = 1_500;
-/// Longest exclusion of a worker, in milliseconds.
-const MAX_EXCLUSION_MS: u64 = 12_000;
 
 /// Time from the receipt of a heartbeat until a lease granted for it has certainly expired, in
 /// milliseconds.
@@ -52,59 +42,6 @@
     lease_ms + lease_ms / CLOCK_DRIFT_DIVISOR + LEASE_MARGIN_MS
 }
 
-/// The leader's state for one incarnation of a worker.
-#[derive(Debug)]
-pub struct Session {
-    /// Latest heartbeat.
-    pub heartbeat: Heartbeat,
-    /// When the latest heartbeat was received, on the leader's clock, in milliseconds.
-    pub last_heartbeat_ms: u64,
-    /// When every lease granted to the worker has certainly expired, in milliseconds.
-    pub lease_until_ms: u64,
-    /// Notified when there are orders for the worker.
-    pub orders_ready: Arc<Notify>,
-    // Start orders sent with the answer to the latest heartbeat.
-    sent_starts: BTreeSet<(TaskId, u32)>,
-    progress: BTreeMap<(TaskId, u32), Progress>,
-    health: Health,
-}
-
-/// Health of a worker, judged by how its recent runs ended.
-#[derive(Clone, Copy, Debug, Default)]
-struct Health {
-    // Failed runs since the last successful one.
-    failures: u32,
-    exclusions: u32,
-    excluded_until_ms: u64,
-}
-
-impl Health {
-    // A single failure may be the fault of the task rather than the worker.
-    fn record_failure(&mut self, now_ms: u64) {
-        self.failures += 1;
-        if self.failures >= MAX_FAILURES {
-            self.exclude(now_ms);
-        }
-    }
-
-    fn exclude(&mut self, now_ms: u64) {
-        // Runs that end together count as one event.
-        if now_ms < self.excluded_until_ms {
-            return;
-        }
-        let length_ms = EXCLUSION_MS << self.exclusions.min(4);
-        self.exclusions += 1;
-        self.excluded_until_ms = now_ms + length_ms.min(MAX_EXCLUSION_MS);
-    }
-}
-
-/// Last change of a run's progress, to detect stuck runs.
-#[derive(Clone, Copy, Debug)]
-struct Progress {
-    percent: u8,
-    changed_ms: u64,
-}
-
 /// A worker as placement sees it, with its free capacity.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Worker {
@@ -146,6 +83,8 @@
     leaving: BTreeMap<String, u64>,
     // Last incarnations of workers that left; their delayed heartbeats are ignored.
     departed: BTreeMap<String, u64>,
+    // How often each task was stopped as stuck.
+    stalls: BTreeMap<TaskId, u32>,
 }
 
 impl Fleet {
@@ -167,35 +106,40 @@
         if is_late || has_left {
             return Receipt { is_stale: true, ends: Vec::new() };
         }
-        let ends = ends_of(&heartbeat, table);
         let lease_until_ms = now_ms + lease_bound_ms(lease_ms);
-        let is_same_incarnation =
-            known.is_some_and(|session| session.heartbeat.incarnation == heartbeat.incarnation);
         let worker = heartbeat.worker.clone();
-        if !is_same_incarnation {
+        if known.is_none_or(|session| session.heartbeat.incarnation != heartbeat.incarnation) {
             // The announced leave was that of an earlier incarnation.
             self.leaving.remove(&worker);
-            let session = Session {
-                heartbeat,
-                last_heartbeat_ms: now_ms,
-                lease_until_ms,
-                orders_ready: Arc::new(Notify::new()),
-                sent_starts: BTreeSet::new(),
-                progress: BTreeMap::new(),
-                health: Health::default(),
-            };
-            self.sessions.insert(worker, session);
-            return Receipt { is_stale: false, ends };
+            let session = Session::new(heartbeat.clone(), now_ms, lease_until_ms);
+            self.sessions.insert(worker.clone(), session);
         }
         let Some(session) = self.sessions.get_mut(&worker) else { return Receipt::default() };
+        session.forget_ended_runs(table);
+        session.update_currency(&heartbeat);
+        let ends = session.ends_in(&heartbeat, table);
         session.update_health(&heartbeat, &ends, table, now_ms);
-        session.heartbeat = heartbeat;
-        session.last_heartbeat_ms = now_ms;
-        session.lease_until_ms = session.lease_until_ms.max(lease_until_ms);
-        session.sent_starts.clear();
+        session.update(heartbeat, now_ms, lease_until_ms);
         Receipt { is_stale: false, ends }
     }
 
+    /// Records the runs that this leader is about to place. Their start orders come from this leader
+    /// alone, so that a later heartbeat without them shows that they did not arrive.
+    pub fn record_starts(&mut self, starts: &[table::Start]) {
+        for start in starts {
+            if let Some(session) = self.sessions.get_mut(&start.worker) {
+                session.record_start(start.task, start.run);
+            }
+        }
+    }
+
+    /// Records that the worker's heartbeat with this sequence number was answered.
+    pub fn record_answer(&mut self, worker: &str, sequence: u64) {
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.record_answer(sequence);
+        }
+    }
+
     /// Records that a worker leaves. Its runs count as lost only after a grace period, since its
     /// last heartbeat may still be in flight and report how they ended.
     pub fn mark_leaving(&mut self, worker: &str, incarnation: Option<u64>, now_ms: u64) {
@@ -251,17 +195,29 @@
         ends
     }
 
-    /// Returns runs whose workers send heartbeats but report no progress. Workers
-    /// without recent heartbeats are left out: the state of their runs is unknown.
-    pub fn stuck_runs(&self, table: &Table) -> Vec<(TaskId, u32)> {
+    /// Returns runs whose workers send heartbeats but report no progress for far longer than the
+    /// expected time for one percent. Workers without recent heartbeats are left out: the state of
+    /// their runs is unknown. Runs away from their data take `remote_factor` times as long.
+    pub fn stuck_runs(
+        &self,
+        table: &Table,
+        estimates: &Estimates,
+        remote_factor: u64,
+    ) -> Vec<(TaskId, u32)> {
         let mut stuck = Vec::new();
         for session in self.sessions.values() {
-            for ((task, run), change) in &session.progress {
-                if session.last_heartbeat_ms < change.changed_ms + STUCK_RUN_TIMEOUT_MS {
+            for ((task, run), progress) in &session.progress {
+                if progress.is_recent(session.last_heartbeat_ms) {
                     continue;
                 }
                 let active = table.active_run(task).filter(|active| active.number == *run);
-                if active.is_some_and(|active| !active.is_stopping) {
+                if active.is_none_or(|active| active.is_stopping) {
+                    continue;
+                }
+                let expected_ms = session.expected_run_ms(task, table, estimates, remote_factor);
+                let stalls = self.stalls.get(task).copied().unwrap_or(0);
+                let timeout_ms = progress.timeout_ms(expected_ms, stalls);
+                if progress.stalled_ms(session.last_heartbeat_ms) >= timeout_ms {
                     stuck.push((*task, *run));
                 }
             }
@@ -269,6 +225,15 @@
         stuck
     }
 
+    /// Records that a task is stopped as stuck and excludes its worker from new work for a while.
+    pub fn record_stall(&mut self, task: &TaskId, table: &Table, now_ms: u64) {
+        self.stalls.retain(|task, _| table.live.contains_key(&task.job));
+        *self.stalls.entry(*task).or_default() += 1;
+        if let Some(run) = table.active_run(task) {
+            self.exclude(&run.worker, now_ms);
+        }
+    }
+
     /// Returns runs that must stop now because their workers are about to leave. A run that ends in
     /// the last moment is never reported, so work that was done would be counted as lost.
     pub fn runs_to_evacuate(&self, table: &Table, now_ms: u64) -> Vec<(TaskId, u32)> {
@@ -299,7 +264,7 @@
             if silent_ms > MAX_SILENCE_IN_POOL_MS {
                 continue;
             }
-            let is_excluded = now_ms < session.health.excluded_until_ms;
+            let is_excluded = session.health.is_excluded(now_ms);
             workers.push(Worker {
                 name: name.clone(),
                 incarnation: heartbeat.incarnation,
@@ -320,8 +285,11 @@
 
     /// Minimum interval between heartbeats of a worker, in milliseconds, so that all workers
     /// together send no more than the leader can answer. The end of a run is still reported at
-    /// once.
-    pub fn min_heartbeat_interval_ms(&self) -> u64 {
+    /// once, and a worker with unconfirmed runs is not slowed down.
+    pub fn min_heartbeat_interval_ms(&self, worker: &str) -> u64 {
+        if self.session(worker).is_some_and(|session| session.has_unconfirmed_runs) {
+            return 0;
+        }
         self.sessions.len() as u64 * 1_000 / MAX_HEARTBEATS_PER_S
     }
 
@@ -355,14 +323,16 @@
                 orders.stop.push((row.task, row.run));
             }
         }
-        if heartbeat.is_draining {
-            return orders;
-        }
         for (task, run) in table.runs_on(worker) {
-            let is_known =
-                heartbeat.running.iter().any(|row| row.task == *task && row.run == run.number)
-                    || heartbeat.ended.iter().any(|end| end.task == *task && end.run == run.number);
-            if is_known || run.is_stopping || run.incarnation != heartbeat.incarnation {
+            if heartbeat.lists(task, run.number) || run.incarnation != heartbeat.incarnation {
+                continue;
+            }
+            if run.is_stopping {
+                // The worker rejects the run if a start order of an earlier leader still arrives.
+                orders.stop.push((*task, run.number));
+                continue;
+            }
+            if heartbeat.is_draining {
                 continue;
             }
             let Some(job) = table.live.get(&task.job) else { continue };
@@ -375,152 +345,6 @@
     }
 }
 
-impl Session {
-    /// Progress of a run in percent, if the worker has reported it.
-    pub fn progress_percent(&self, task: &TaskId, run: u32) -> Option<u8> {
-        let row = self.heartbeat.running.iter().find(|row| row.task == *task && row.run == run);
-        row.map(|row| row.percent)
-    }
-
-    /// Whether the worker will leave before it could execute an order given now and report the
-    /// result.
-    pub fn is_about_to_leave(&self, now_ms: u64) -> bool {
-        let Some(remaining_ms) = self.heartbeat.remaining_ms.filter(|_| self.heartbeat.is_draining)
-        else {
-            return false;
-        };
-        now_ms + EVACUATION_LEAD_MS >= self.last_heartbeat_ms + remaining_ms
-    }
-
-    /// Whether the worker runs nothing and has nothing left to report.
-    pub fn is_idle(&self) -> bool {
-        self.heartbeat.running.is_empty() && self.heartbeat.ended.is_empty()
-    }
-
-    /// Expected time until the next of its runs ends, extrapolated from their progress, in
-    /// milliseconds; `None` if nothing runs.
-    pub fn next_end_ms(&self, table: &Table, wall_ms: u64) -> Option<u64> {
-        // A draining worker may leave at any moment, and can't report an end while its heartbeat is
-        // held.
-        if self.heartbeat.is_draining {
-            return Some(0);
-        }
-        let mut next_ms = None;
-        for row in &self.heartbeat.running {
-            let Some(run) = table.active_run(&row.task) else { return Some(0) };
-            let ran_ms = wall_ms.saturating_sub(run.placed_ms);
-            let percent = u64::from(row.percent);
-            // Progress below 5% is too little to extrapolate from. A task of a gang that has done
-            // its share ends together with the others, at any time.
-            let left_ms = match percent {
-                0..5 => MIN_RUN_MS.saturating_sub(ran_ms),
-                5..100 => ran_ms * (100 - percent) / percent,
-                _ => 0,
-            };
-            next_ms = Some(next_ms.map_or(left_ms, |least_ms: u64| least_ms.min(left_ms)));
-        }
-        next_ms
-    }
-
-    fn checkpoint(&self, task: &TaskId, run: u32) -> &str {
-        let row = self.heartbeat.running.iter().find(|row| row.task == *task && row.run == run);
-        row.map_or("", |row| &row.checkpoint)
-    }
-
-    // Updates the worker's health and the progress of its runs from a new heartbeat.
-    fn update_health(&mut self, heartbeat: &Heartbeat, ends: &[End], table: &Table, now_ms: u64) {
-        for end in ends {
-            match end.how {
-                Exit::Failed => self.health.record_failure(now_ms),
-                Exit::Done => self.health = Health::default(),
-                _ => {}
-            }
-        }
-        let mut progress = BTreeMap::new();
-        for row in &heartbeat.running {
-            let key = (row.task, row.run);
-            let is_lasting = table.live.get(&row.task.job).is_some_and(|job| {
-                job.spec.steps.get(row.task.step as usize).is_some_and(|step| step.is_lasting)
-            });
-            // A task of a gang that has done its share waits for the others and is not stuck.
-            if is_lasting || row.percent >= 100 {
-                continue;
-            }
-            let current = Progress { percent: row.percent, changed_ms: now_ms };
-            let previous = self.progress.get(&key).copied().unwrap_or(current);
-            let change = if previous.percent == row.percent { previous } else { current };
-            progress.insert(key, change);
-        }
-        self.progress = progress;
-    }
-
-    // Free resources of the worker. Runs that the table no longer places there use theirs until the
-    // worker reports that they ended.
-    fn free(&self, worker: &str, table: &Table) -> Resources {
-        let mut free = self.heartbeat.capacity;
-        for (task, _) in table.runs_on(worker) {
-            subtract_task(&mut free, task, table);
-        }
-        let running = self.heartbeat.running.iter().map(|row| (row.task, row.run));
-        let mut others: Vec<(TaskId, u32)> = Vec::new();
-        for (task, run) in running.chain(self.sent_starts.iter().copied()) {
-            let active = table.active_run(&task);
-            let is_counted =
-                active.is_some_and(|active| active.number == run && active.worker == worker);
-            if is_counted || others.contains(&(task, run)) {
-                continue;
-            }
-            others.push((task, run));
-            subtract_task(&mut free, &task, table);
-        }
-        free
-    }
-}
-
-fn subtract_task(free: &mut Resources, task: &TaskId, table: &Table) {
-    let step = table.job(task.job).and_then(|job| job.spec.steps.get(task.step as usize));
-    if let Some(step) = step {
-        free.subtract(&step.demand, step.is_filler);
-    }
-}
-
 fn lapsed(task: TaskId, run: u32, checkpoint: &str) -> End {
     End { task, run, how: Exit::Lapsed, checkpoint: checkpoint.to_string() }
 }
-
-// Ends, according to a heartbeat, of the runs that the table places on its worker.
-fn ends_of(heartbeat: &Heartbeat, table: &Table) -> Vec<End> {
-    let mut ends = Vec::new();
-    for (task, run) in table.runs_on(&heartbeat.worker) {
-        if run.incarnation > heartbeat.incarnation {
-            continue;
-        }
-        if run.incarnation < heartbeat.incarnation {
-            // The worker has restarted and lost the runs of its earlier incarnation.
-            ends.push(lapsed(*task, run.number, ""));
-            continue;
-        }
-        let is_ended = heartbeat.ended.iter().any(|end| end.task == *task && end.run == run.number);
-        let is_running =
-            heartbeat.running.iter().any(|row| row.task == *task && row.run == run.number);
-        let will_start = !run.is_stopping && !heartbeat.is_draining;
-        if is_ended || is_running || will_start {
-            continue;
-        }
-        // The start order never reached the worker and will not be sent again.
-        ends.push(lapsed(*task, run.number, ""));
-    }
-    for end in &heartbeat.ended {
-        let active = table.active_run(&end.task).filter(|active| {
-            active.number == end.run
-                && active.worker == heartbeat.worker
-                && active.incarnation == heartbeat.incarnation
-        });
-        if active.is_none() {
-            continue;
-        }
-        let checkpoint = end.checkpoint.clone();
-        ends.push(End { task: end.task, run: end.run, how: end.how, checkpoint });
-    }
-    ends
-}
--- /dev/null
+++ b/src/batch/fleet/session.rs
@@ -0,0 +1,283 @@
+//! What a leader knows of one incarnation of a worker.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use tokio::sync::Notify;
+
+use super::health::Health;
+use super::progress::Progress;
+use super::{MAX_REPORTED_ENDS, lapsed};
+use crate::batch::estimate::Estimates;
+use crate::batch::job::{Resources, TaskId};
+use crate::batch::table::{End, Table};
+use crate::batch::worker::{Exit, Heartbeat};
+
+/// Time before a worker leaves at which its runs are stopped, in milliseconds: one round and one
+/// heartbeat to deliver the order, 400 ms for the stop, and one heartbeat that reports the ends.
+const EVACUATION_LEAD_MS: u64 = 1_000;
+/// Run time before which a run with little progress is not expected to end, in milliseconds: hardly
+/// any task is shorter.
+const MIN_RUN_MS: u64 = 1_000;
+/// Time after a heartbeat, on the worker's clock, until which the next one shows that the first was
+/// answered, in milliseconds: a worker waits 1 s for an answer, less 4% for its timer.
+const MAX_ANSWER_AGE_MS: u64 = 960;
+
+/// The leader's state for one incarnation of a worker.
+#[derive(Debug)]
+pub struct Session {
+    /// Latest heartbeat.
+    pub heartbeat: Heartbeat,
+    /// When the latest heartbeat was received, on the leader's clock, in milliseconds.
+    pub last_heartbeat_ms: u64,
+    /// When every lease granted to the worker has certainly expired, in milliseconds.
+    pub lease_until_ms: u64,
+    /// Notified when there are orders for the worker.
+    pub orders_ready: Arc<Notify>,
+    /// Whether an order for a run that was inherited from an earlier leader may still be in effect
+    /// on the worker without showing in its latest heartbeat.
+    pub(super) has_unconfirmed_runs: bool,
+    // Whether the latest heartbeat was composed after an answer of this leader had arrived.
+    is_current: bool,
+    // Clock of the worker in the latest heartbeat, once that heartbeat was answered.
+    answered_clock_ms: Option<u64>,
+    // Runs placed by this leader.
+    own_runs: BTreeSet<(TaskId, u32)>,
+    // Start orders sent with the answer to the latest heartbeat.
+    pub(super) sent_starts: BTreeSet<(TaskId, u32)>,
+    pub(super) progress: BTreeMap<(TaskId, u32), Progress>,
+    pub(super) health: Health,
+}
+
+impl Session {
+    pub(super) fn new(heartbeat: Heartbeat, now_ms: u64, lease_until_ms: u64) -> Self {
+        Self {
+            heartbeat,
+            last_heartbeat_ms: now_ms,
+            lease_until_ms,
+            orders_ready: Arc::new(Notify::new()),
+            has_unconfirmed_runs: false,
+            is_current: false,
+            answered_clock_ms: None,
+            own_runs: BTreeSet::new(),
+            sent_starts: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            health: Health::default(),
+        }
+    }
+
+    // Replaces the latest heartbeat by a newer one of the same incarnation.
+    pub(super) fn update(&mut self, heartbeat: Heartbeat, now_ms: u64, lease_until_ms: u64) {
+        self.heartbeat = heartbeat;
+        self.last_heartbeat_ms = now_ms;
+        self.lease_until_ms = self.lease_until_ms.max(lease_until_ms);
+        self.answered_clock_ms = None;
+        self.sent_starts.clear();
+    }
+
+    // Records that the heartbeat with this sequence number was answered.
+    pub(super) fn record_answer(&mut self, sequence: u64) {
+        if self.heartbeat.sequence == sequence {
+            self.answered_clock_ms = self.heartbeat.clock_ms;
+        }
+    }
+
+    // Records that this leader placed a run on the worker.
+    pub(super) fn record_start(&mut self, task: TaskId, run: u32) {
+        self.own_runs.insert((task, run));
+    }
+
+    // Forgets runs of this leader that have ended. One that the table does not have yet is about to
+    // be committed.
+    pub(super) fn forget_ended_runs(&mut self, table: &Table) {
+        self.own_runs.retain(|(name, run)| {
+            let task = table.live.get(&name.job).and_then(|job| job.task(name));
+            task.is_some_and(|task| task.runs < *run) || table.is_run_active(name, *run)
+        });
+    }
+
+    // Checks whether a heartbeat was composed after an answer of this leader. A worker has one call
+    // outstanding at a time, so a heartbeat that follows an answered one within the timeout of a
+    // call follows its answer.
+    pub(super) fn update_currency(&mut self, heartbeat: &Heartbeat) {
+        let gap_ms = heartbeat.clock_ms.zip(self.answered_clock_ms);
+        let gap_ms = gap_ms.and_then(|(clock_ms, answered)| clock_ms.checked_sub(answered));
+        self.is_current |= gap_ms.is_some_and(|gap_ms| gap_ms < MAX_ANSWER_AGE_MS);
+    }
+
+    // Whether a run that a newer heartbeat does not list is certainly not on the worker. Start orders
+    // of this leader precede every newer heartbeat; those of an earlier leader may have overtaken it.
+    pub(super) fn is_absence_conclusive(&self, task: &TaskId, run: u32) -> bool {
+        self.is_current || self.own_runs.contains(&(*task, run))
+    }
+
+    // Ends, according to a heartbeat, of the runs that the table places on the worker.
+    pub(super) fn ends_in(&mut self, heartbeat: &Heartbeat, table: &Table) -> Vec<End> {
+        let mut ends = Vec::new();
+        self.has_unconfirmed_runs = false;
+        for (task, run) in table.runs_on(&heartbeat.worker) {
+            if run.incarnation > heartbeat.incarnation {
+                continue;
+            }
+            if run.incarnation < heartbeat.incarnation {
+                // The worker has restarted and lost the runs of its earlier incarnation.
+                ends.push(lapsed(*task, run.number, ""));
+                continue;
+            }
+            let will_start = !run.is_stopping && !heartbeat.is_draining;
+            if heartbeat.lists(task, run.number) || will_start {
+                continue;
+            }
+            if !self.is_absence_conclusive(task, run.number)
+                || heartbeat.ended.len() >= MAX_REPORTED_ENDS
+            {
+                self.has_unconfirmed_runs = true;
+                continue;
+            }
+            // The start order never reached the worker and will not be sent again.
+            ends.push(lapsed(*task, run.number, ""));
+        }
+        for end in &heartbeat.ended {
+            let active = table.active_run(&end.task).filter(|active| {
+                active.number == end.run
+                    && active.worker == heartbeat.worker
+                    && active.incarnation == heartbeat.incarnation
+            });
+            if active.is_none() {
+                continue;
+            }
+            let checkpoint = end.checkpoint.clone();
+            ends.push(End { task: end.task, run: end.run, how: end.how, checkpoint });
+        }
+        ends
+    }
+
+    /// Progress of a run in percent, if the worker has reported it.
+    pub fn progress_percent(&self, task: &TaskId, run: u32) -> Option<u8> {
+        let row = self.heartbeat.running.iter().find(|row| row.task == *task && row.run == run);
+        row.map(|row| row.percent)
+    }
+
+    /// Whether the worker will leave before it could execute an order given now and report the
+    /// result.
+    pub fn is_about_to_leave(&self, now_ms: u64) -> bool {
+        let Some(remaining_ms) = self.heartbeat.remaining_ms.filter(|_| self.heartbeat.is_draining)
+        else {
+            return false;
+        };
+        now_ms + EVACUATION_LEAD_MS >= self.last_heartbeat_ms + remaining_ms
+    }
+
+    /// Whether the worker runs nothing and has nothing left to report.
+    pub fn is_idle(&self) -> bool {
+        self.heartbeat.running.is_empty() && self.heartbeat.ended.is_empty()
+    }
+
+    /// Expected time until the next of its runs ends, extrapolated from their progress, in
+    /// milliseconds; `None` if nothing runs.
+    pub fn next_end_ms(&self, table: &Table, wall_ms: u64) -> Option<u64> {
+        // A draining worker may leave at any moment, and can't report an end while its heartbeat is
+        // held.
+        if self.heartbeat.is_draining {
+            return Some(0);
+        }
+        let mut next_ms = None;
+        for row in &self.heartbeat.running {
+            let Some(run) = table.active_run(&row.task) else { return Some(0) };
+            let ran_ms = wall_ms.saturating_sub(run.placed_ms);
+            let percent = u64::from(row.percent);
+            // Progress below 5% is too little to extrapolate from. A task of a gang that has done
+            // its share ends together with the others, at any time.
+            let left_ms = match percent {
+                0..5 => MIN_RUN_MS.saturating_sub(ran_ms),
+                5..100 => ran_ms * (100 - percent) / percent,
+                _ => 0,
+            };
+            next_ms = Some(next_ms.map_or(left_ms, |least_ms: u64| least_ms.min(left_ms)));
+        }
+        next_ms
+    }
+
+    // Expected time for a whole run of a task on this worker, in milliseconds.
+    pub(super) fn expected_run_ms(
+        &self,
+        task: &TaskId,
+        table: &Table,
+        estimates: &Estimates,
+        remote_factor: u64,
+    ) -> u64 {
+        let Some(job) = table.live.get(&task.job) else { return 0 };
+        let Some(step) = job.spec.steps.get(task.step as usize) else { return 0 };
+        let run_ms = estimates.run_ms(&job.queue, step.estimate_ms) as f64;
+        let is_remote = !step.data_rack.is_empty() && step.data_rack != self.heartbeat.rack;
+        let factor = if is_remote { remote_factor } else { 1 };
+        (run_ms * estimates.slowdown(&self.heartbeat.zone)) as u64 * factor
+    }
+
+    pub(super) fn checkpoint(&self, task: &TaskId, run: u32) -> &str {
+        let row = self.heartbeat.running.iter().find(|row| row.task == *task && row.run == run);
+        row.map_or("", |row| &row.checkpoint)
+    }
+
+    // Updates the worker's health and the progress of its runs from a new heartbeat.
+    pub(super) fn update_health(
+        &mut self,
+        heartbeat: &Heartbeat,
+        ends: &[End],
+        table: &Table,
+        now_ms: u64,
+    ) {
+        for end in ends {
+            match end.how {
+                Exit::Failed => self.health.record_failure(now_ms),
+                Exit::Done => self.health = Health::default(),
+                _ => {}
+            }
+        }
+        let mut progress = BTreeMap::new();
+        for row in &heartbeat.running {
+            let key = (row.task, row.run);
+            let is_lasting = table.live.get(&row.task.job).is_some_and(|job| {
+                job.spec.steps.get(row.task.step as usize).is_some_and(|step| step.is_lasting)
+            });
+            // A task of a gang that has done its share waits for the others and is not stuck.
+            if is_lasting || row.percent >= 100 {
+                continue;
+            }
+            let previous = self.progress.get(&key).copied();
+            let mut current = previous.unwrap_or_else(|| Progress::new(row.percent, now_ms));
+            current.update(row.percent, now_ms);
+            progress.insert(key, current);
+        }
+        self.progress = progress;
+    }
+
+    // Free resources of the worker. Runs that the table no longer places there use theirs until the
+    // worker reports that they ended.
+    pub(super) fn free(&self, worker: &str, table: &Table) -> Resources {
+        let mut free = self.heartbeat.capacity;
+        for (task, _) in table.runs_on(worker) {
+            subtract_task(&mut free, task, table);
+        }
+        let running = self.heartbeat.running.iter().map(|row| (row.task, row.run));
+        let mut others: Vec<(TaskId, u32)> = Vec::new();
+        for (task, run) in running.chain(self.sent_starts.iter().copied()) {
+            let active = table.active_run(&task);
+            let is_counted =
+                active.is_some_and(|active| active.number == run && active.worker == worker);
+            if is_counted || others.contains(&(task, run)) {
+                continue;
+            }
+            others.push((task, run));
+            subtract_task(&mut free, &task, table);
+        }
+        free
+    }
+}
+
+fn subtract_task(free: &mut Resources, task: &TaskId, table: &Table) {
+    let step = table.job(task.job).and_then(|job| job.spec.steps.get(task.step as usize));
+    if let Some(step) = step {
+        free.subtract(&step.demand, step.is_filler);
+    }
+}
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -70,6 +70,10 @@
     pub incarnation: u64,
     /// Sequence number of the heartbeat, increasing within the incarnation.
     pub sequence: u64,
+    /// Steady clock of the worker when it composed the heartbeat, in milliseconds; `None` if the
+    /// daemon that passed the heartbeat on doesn't know the field.
+    #[serde(default)]
+    pub clock_ms: Option<u64>,
     /// Pool that the worker belongs to.
     pub pool: String,
     /// Availability zone.
@@ -90,6 +94,14 @@
     pub ended: Vec<End>,
 }
 
+impl Heartbeat {
+    /// Whether the heartbeat lists a run, as running or as ended.
+    pub fn lists(&self, task: &TaskId, run: u32) -> bool {
+        self.running.iter().any(|row| row.task == *task && row.run == run)
+            || self.ended.iter().any(|end| end.task == *task && end.run == run)
+    }
+}
+
 /// A task to start.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Start {
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -32,7 +32,7 @@
 pub(super) async fn handle(control: &Control, heartbeat: Heartbeat) -> Result<Answer> {
     control.group.read().await?;
     let received_ms = control.timer.now_ms();
-    let worker = heartbeat.worker.clone();
+    let (worker, sequence) = (heartbeat.worker.clone(), heartbeat.sequence);
     let Some(receipt) = record_heartbeat(control, heartbeat, received_ms) else {
         tracing::debug!(target: DECISION, worker, "outdated heartbeat dropped");
         return Ok(Answer::Orders(Box::default()));
@@ -53,7 +53,11 @@
         orders = control.dispatch.term_state.lock().fleet.issue_orders(&worker, &machine.batch);
     }
     let latency_ms = control.timer.now_ms() - received_ms;
-    let interval_ms = control.dispatch.term_state.lock().fleet.min_heartbeat_interval_ms();
+    let interval_ms = {
+        let mut term_state = control.dispatch.term_state.lock();
+        term_state.fleet.record_answer(&worker, sequence);
+        term_state.fleet.min_heartbeat_interval_ms(&worker)
+    };
     let next_ms = if hold_ms.is_some() { NEXT_HEARTBEAT_MS } else { NEAR_END_HEARTBEAT_MS };
     orders.lease_ms = Some(control.dispatch.lease_ms);
     orders.term = control.group_status().term;
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -131,12 +131,11 @@
     let machine = control.machine.lock();
     let mut term_state = control.dispatch.term_state.lock();
     let Term { fleet, planner, estimates, .. } = &mut *term_state;
-    let stuck = fleet.stuck_runs(&machine.batch);
+    let remote_factor = control.dispatch.times.remote_factor;
+    let stuck = fleet.stuck_runs(&machine.batch, estimates, remote_factor);
     let evacuated = fleet.runs_to_evacuate(&machine.batch, now_ms);
     for (name, _) in &stuck {
-        if let Some(run) = machine.batch.active_run(name) {
-            fleet.exclude(&run.worker, now_ms);
-        }
+        fleet.record_stall(name, &machine.batch, now_ms);
     }
     let view = View {
         table: &machine.batch,
@@ -147,6 +146,7 @@
         wall_ms: wall_ms(),
     };
     let mut plan = planner.decide(view);
+    fleet.record_starts(&plan.round.starts);
     for (name, run) in evacuated {
         tracing::info!(target: DECISION, task = %name, run, "stopping run before its worker leaves");
         plan.round.stops.push((name, run));
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -309,7 +309,7 @@
         harness.receive_heartbeat("w0", |heartbeat| heartbeat.running[0].percent = percent);
         harness.now_ms += 500;
     }
-    assert_eq!(harness.fleet.stuck_runs(&harness.table).len(), stuck_count);
+    assert_eq!(harness.stuck_runs().len(), stuck_count);
 }
 
 /// Network partitions and leader changes stop heartbeats for seconds while runs go on.
@@ -318,9 +318,9 @@
     let mut harness = with_running_task();
     harness.receive_heartbeat("w0", |heartbeat| heartbeat.running[0].percent = 50);
     harness.now_ms += 5_000;
-    assert!(harness.fleet.stuck_runs(&harness.table).is_empty());
+    assert!(harness.stuck_runs().is_empty());
     harness.receive_heartbeat("w0", |heartbeat| heartbeat.running[0].percent = 90);
-    assert!(harness.fleet.stuck_runs(&harness.table).is_empty());
+    assert!(harness.stuck_runs().is_empty());
 }
 
 /// One failure may be the fault of the task; a worker that fails two runs in a row is faulty.
@@ -385,7 +385,7 @@
 ) {
     let mut harness = Harness::with_workers(0);
     harness.receive_heartbeats(workers);
-    let interval_ms = harness.fleet.min_heartbeat_interval_ms();
+    let interval_ms = harness.fleet.min_heartbeat_interval_ms("w0");
     assert!((min_ms..max_ms).contains(&interval_ms), "{interval_ms}");
     assert!(interval_ms * 3 < LEASE_MS * 2, "two of three heartbeats may be lost within a lease");
 }
--- a/tests/support/batch.rs
+++ b/tests/support/batch.rs
@@ -148,6 +148,7 @@
             worker: worker.into(),
             incarnation: 1,
             sequence: self.sequence,
+            clock_ms: Some(self.now_ms),
             pool: "pool".into(),
             zone: "zone".into(),
             capacity: WORKER_CAPACITY,
@@ -162,6 +163,11 @@
         self.fleet.receive(heartbeat, &self.table, LEASE_MS, self.now_ms)
     }
 
+    /// Runs that count as stuck.
+    pub fn stuck_runs(&self) -> Vec<(TaskId, u32)> {
+        self.fleet.stuck_runs(&self.table, &self.estimates, 3)
+    }
+
     /// Receives an unchanged heartbeat from each of the first `count` workers.
     pub fn receive_heartbeats(&mut self, count: usize) {
         for index in 0..count {
@@ -185,6 +191,7 @@
             wall_ms: self.now_ms,
         };
         let plan = self.planner.decide(view);
+        self.fleet.record_starts(&plan.round.starts);
         let round = Round { due_ms: self.now_ms, ..plan.round.clone() };
         self.apply(Command::Round(round));
         plan
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod raw;
 pub mod relay;
 pub mod replay;
+pub mod takeover;
 pub mod upstream;
 pub mod worker;
 
--- /dev/null
+++ b/tests/support/takeover.rs
@@ -0,0 +1,284 @@
+//! Seeded simulation of workers and leaders: heartbeats and answers are delayed, reordered and lost
+//! while leaders change, and the simulated workers check that no task runs twice.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use eelgrassvalve::batch::fleet::{Fleet, lease_bound_ms};
+use eelgrassvalve::batch::job::{State, TaskId};
+use eelgrassvalve::batch::table::{Command, End, Round, Start};
+use eelgrassvalve::batch::worker::{self, Exit, Heartbeat, Orders};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::batch::{Harness, LEASE_MS, WORKER_CAPACITY, step, task_id};
+
+/// Step of the simulated clock, in milliseconds.
+const STEP_MS: u64 = 10;
+/// Time after which a worker drops an answer, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 1_000;
+/// Length of a simulation, in milliseconds.
+const LENGTH_MS: u64 = 15_000;
+const WORKERS: usize = 3;
+const TASKS: u32 = 6;
+
+/// A worker, which follows the protocol of heartbeats and leases.
+#[derive(Default)]
+struct Host {
+    sequence: u64,
+    // Sequence number and time of the outstanding heartbeat.
+    outstanding: Option<(u64, u64)>,
+    next_ms: u64,
+    lease_until_ms: u64,
+    token: u64,
+    // End time of each run.
+    running: BTreeMap<TaskId, (u32, u64)>,
+    ended: Vec<worker::End>,
+    ends: u64,
+    // Highest run of each task that was stopped or ended here.
+    rejected: BTreeMap<TaskId, u32>,
+}
+
+enum Packet {
+    Beat(Box<Heartbeat>),
+    Answer { worker: usize, sequence: u64, orders: Orders },
+}
+
+pub struct Simulation {
+    random: SmallRng,
+    harness: Harness,
+    hosts: Vec<Host>,
+    packets: Vec<(u64, Packet)>,
+    term: u64,
+    // When the current leader took over.
+    since_ms: u64,
+    ends: Vec<End>,
+    acknowledged: BTreeSet<TaskId>,
+    seed: u64,
+}
+
+impl Simulation {
+    pub fn run(seed: u64) {
+        let mut harness = Harness::with_workers(0);
+        harness.submit(1, "small", vec![step(TASKS)]);
+        let mut simulation = Self {
+            random: SmallRng::seed_from_u64(seed),
+            since_ms: harness.now_ms,
+            harness,
+            hosts: (0..WORKERS).map(|_| Host::default()).collect(),
+            packets: Vec::new(),
+            term: 1,
+            ends: Vec::new(),
+            acknowledged: BTreeSet::new(),
+            seed,
+        };
+        let end_ms = simulation.harness.now_ms + LENGTH_MS;
+        while simulation.harness.now_ms < end_ms {
+            simulation.harness.now_ms += STEP_MS;
+            simulation.advance();
+        }
+    }
+
+    fn advance(&mut self) {
+        if self.chance(3) {
+            self.change_leader();
+        }
+        for at in 0..WORKERS {
+            self.advance_host(at);
+        }
+        let now_ms = self.harness.now_ms;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.packets).into_iter().partition(|(at_ms, _)| *at_ms <= now_ms);
+        self.packets = later;
+        for (_, packet) in due {
+            match packet {
+                Packet::Beat(heartbeat) => self.receive(*heartbeat),
+                Packet::Answer { worker, sequence, orders } => self.obey(worker, sequence, &orders),
+            }
+        }
+        if self.chance(100) {
+            self.round();
+        }
+    }
+
+    fn change_leader(&mut self) {
+        self.term += 1;
+        self.since_ms = self.harness.now_ms;
+        self.harness.fleet = Fleet::default();
+        self.ends.clear();
+    }
+
+    // Delivers a packet after a delay, or never. Some arrive seconds late.
+    fn send(&mut self, packet: Packet) {
+        let delay_ms = match self.random.random_range(0..100u32) {
+            0..5 => return,
+            5..20 => self.random.random_range(0..5_000),
+            _ => self.random.random_range(0..40),
+        };
+        self.packets.push((self.harness.now_ms + delay_ms, packet));
+    }
+
+    fn advance_host(&mut self, at: usize) {
+        let now_ms = self.harness.now_ms;
+        let host = &mut self.hosts[at];
+        if now_ms >= host.lease_until_ms {
+            let lapsed: Vec<TaskId> = host.running.keys().copied().collect();
+            lapsed.iter().for_each(|task| host.end(task, Exit::Lapsed));
+        }
+        let done = host.running.iter().filter(|(_, (_, end_ms))| *end_ms <= now_ms);
+        let done: Vec<TaskId> = done.map(|(task, _)| *task).collect();
+        done.iter().for_each(|task| host.end(task, Exit::Done));
+        if host.outstanding.is_some_and(|(_, sent_ms)| now_ms < sent_ms + CALL_TIMEOUT_MS)
+            || (host.outstanding.is_none() && now_ms < host.next_ms)
+        {
+            return;
+        }
+        host.sequence += 1;
+        host.outstanding = Some((host.sequence, now_ms));
+        let row = |(task, (run, _)): (&TaskId, &(u32, u64))| worker::Run {
+            task: *task,
+            run: *run,
+            checkpoint: String::new(),
+            percent: 50,
+            gauge: 0,
+        };
+        let heartbeat = Heartbeat {
+            worker: format!("w{at}"),
+            incarnation: 1,
+            sequence: host.sequence,
+            clock_ms: Some(now_ms),
+            pool: "pool".into(),
+            zone: "zone".into(),
+            capacity: WORKER_CAPACITY,
+            labels: Vec::new(),
+            rack: String::new(),
+            is_draining: false,
+            remaining_ms: None,
+            running: host.running.iter().map(row).collect(),
+            ended: host.ended.clone(),
+        };
+        self.send(Packet::Beat(Box::new(heartbeat)));
+    }
+
+    fn receive(&mut self, heartbeat: Heartbeat) {
+        let (name, sequence) = (heartbeat.worker.clone(), heartbeat.sequence);
+        let harness = &mut self.harness;
+        let receipt = harness.fleet.receive(heartbeat, &harness.table, LEASE_MS, harness.now_ms);
+        if receipt.is_stale {
+            return;
+        }
+        self.ends.extend(receipt.ends);
+        self.commit_ends();
+        let mut orders = self.harness.fleet.issue_orders(&name, &self.harness.table);
+        self.harness.fleet.record_answer(&name, sequence);
+        orders.lease_ms = Some(LEASE_MS);
+        orders.term = self.term;
+        orders.next_ms = self.random.random_range(20..300);
+        let worker = name[1..].parse().expect("a worker name is a letter and a number");
+        self.send(Packet::Answer { worker, sequence, orders });
+    }
+
+    fn commit_ends(&mut self) {
+        let ends = std::mem::take(&mut self.ends);
+        self.harness.apply(Command::Round(Round { ends, ..Round::default() }));
+    }
+
+    // Ends lost runs, then stops and starts runs at random.
+    fn round(&mut self) {
+        let now_ms = self.harness.now_ms;
+        let takeover_until_ms = self.since_ms + lease_bound_ms(LEASE_MS);
+        let lost = self.harness.fleet.lost_runs(&self.harness.table, takeover_until_ms, now_ms);
+        self.ends.extend(lost);
+        self.commit_ends();
+        let mut round = Round::default();
+        for index in 0..TASKS {
+            let task = task_id(1, 0, index);
+            let found = self.harness.table.live.get(&task.job).and_then(|job| job.task(&task));
+            let Some((state, runs)) = found.map(|found| (found.state.clone(), found.runs)) else {
+                return;
+            };
+            match state {
+                State::Active(run) if self.chance(50) => round.stops.push((task, run.number)),
+                State::Waiting if self.chance(500) => {
+                    let worker = format!("w{}", self.random.random_range(0..WORKERS));
+                    if self.harness.fleet.session(&worker).is_none() {
+                        continue;
+                    }
+                    round.starts.push(Start { task, run: runs + 1, worker, incarnation: 1 });
+                }
+                _ => {}
+            }
+        }
+        self.harness.fleet.record_starts(&round.starts);
+        self.harness.apply(Command::Round(round));
+    }
+
+    // A worker receives an answer; one that comes too late is dropped.
+    fn obey(&mut self, at: usize, sequence: u64, orders: &Orders) {
+        let now_ms = self.harness.now_ms;
+        let Some((outstanding, sent_ms)) = self.hosts[at].outstanding else { return };
+        if outstanding != sequence || now_ms >= sent_ms + CALL_TIMEOUT_MS {
+            return;
+        }
+        self.hosts[at].outstanding = None;
+        self.hosts[at].next_ms = now_ms + orders.next_ms;
+        if orders.term < self.hosts[at].token {
+            return;
+        }
+        self.hosts[at].token = orders.term;
+        for end in &self.hosts[at].ended {
+            if end.number <= orders.acknowledged && end.how == Exit::Done {
+                self.acknowledged.insert(end.task);
+            }
+        }
+        let host = &mut self.hosts[at];
+        host.ended.retain(|end| end.number > orders.acknowledged);
+        host.lease_until_ms = host.lease_until_ms.max(sent_ms + LEASE_MS);
+        for (task, run) in &orders.stop {
+            if host.running.get(task).is_some_and(|(number, _)| number == run) {
+                host.end(task, Exit::Stopped);
+            }
+            let highest = host.rejected.entry(*task).or_default();
+            *highest = (*highest).max(*run);
+        }
+        for start in &orders.start {
+            let highest = self.hosts[at].rejected.get(&start.task).copied().unwrap_or(0);
+            let current = self.hosts[at].running.get(&start.task).map_or(0, |(run, _)| *run);
+            if start.run <= highest || start.run <= current {
+                continue;
+            }
+            self.check_start(at, &start.task);
+            let end_ms = now_ms + self.random.random_range(500..4_000);
+            self.hosts[at].running.insert(start.task, (start.run, end_ms));
+        }
+    }
+
+    fn check_start(&self, at: usize, task: &TaskId) {
+        let (seed, now_ms) = (self.seed, self.harness.now_ms);
+        for (other, host) in self.hosts.iter().enumerate() {
+            assert!(
+                !host.running.contains_key(task),
+                "seed {seed}, {now_ms} ms: {task} starts on w{at} and still runs on w{other}"
+            );
+        }
+        assert!(
+            !self.acknowledged.contains(task),
+            "seed {seed}, {now_ms} ms: {task} starts on w{at} after its end was acknowledged"
+        );
+    }
+
+    // Whether an event with this probability, in thousandths, occurs.
+    fn chance(&mut self, per_thousand: u32) -> bool {
+        self.random.random_range(0..1_000u32) < per_thousand
+    }
+}
+
+impl Host {
+    fn end(&mut self, task: &TaskId, how: Exit) {
+        let Some((run, _)) = self.running.remove(task) else { return };
+        self.ends += 1;
+        let (number, checkpoint) = (self.ends, String::new());
+        self.ended.push(worker::End { number, task: *task, run, how, checkpoint });
+        let highest = self.rejected.entry(*task).or_default();
+        *highest = (*highest).max(run);
+    }
+}
