Routing: a probe is told by its slot, and requests without a slot aren't charged

Change: a pick tells whether its request is the probe, and release and outcome carry that. Failures of requests that started before an ejection don't extend it. The queue refunds the pass of a request that gets no slot.

Result: three tests in tests/upstreams.rs and tests/queue.rs pass; they use the new parameters, so that they don't compile on the code before.

--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -210,13 +210,13 @@
         mut attempt: Attempt<Ready>,
         precondition: Precondition<'_>,
     ) -> Result<Answer> {
-        let id = slot.upstream.id.clone();
+        let (id, is_probe) = (slot.upstream.id.clone(), slot.is_probe);
         loop {
             let acquired = self.connections.acquire(slot.upstream.address).await;
             let connection = match acquired {
                 Ok(connection) => connection,
                 Err(e) => {
-                    self.record_outcome(&id, Outcome::Failed);
+                    self.record_outcome(&id, Outcome::Failed, is_probe);
                     return Err(attempt.fail(Code::UpstreamFailed, e.to_string()));
                 }
             };
@@ -224,7 +224,7 @@
             if let Err(error) =
                 self.check_deadline(request, start_ms, &attempt).and_then(|()| precondition())
             {
-                self.record_outcome(&id, Outcome::Unused);
+                self.record_outcome(&id, Outcome::Unused, is_probe);
                 return Err(error);
             }
             let is_reused = connection.is_reused();
@@ -236,23 +236,21 @@
             let completion = match tokio::time::timeout(left, receiver).await {
                 Ok(Ok(completion)) => completion,
                 Ok(Err(_)) => {
-                    self.record_outcome(&id, Outcome::Failed);
+                    self.record_outcome(&id, Outcome::Failed, is_probe);
                     return Err(sent.fail(Code::UpstreamFailed, "the exchange was given up"));
                 }
                 Err(_) => {
                     let took_ms = self.timer.now_ms() - start_ms;
                     let is_failure = took_ms >= MIN_FAILURE_WAIT_MS;
-                    self.record_outcome(
-                        &id,
-                        if is_failure { Outcome::Failed } else { Outcome::Unused },
-                    );
+                    let outcome = if is_failure { Outcome::Failed } else { Outcome::Unused };
+                    self.record_outcome(&id, outcome, is_probe);
                     return Err(sent.fail(Code::Deadline, "no whole answer in time"));
                 }
             };
             match (completion.result, completion.slot) {
                 (Ok(answer), _) => {
                     sent.mark_answered();
-                    self.record_outcome(&id, Outcome::Answered);
+                    self.record_outcome(&id, Outcome::Answered, is_probe);
                     let now_ms = self.timer.now_ms();
                     self.queue.lock().record_service_time(&request.kind, now_ms - start_ms, now_ms);
                     return Ok(answer);
@@ -263,11 +261,11 @@
                     attempt = sent.mark_unsent();
                 }
                 (Err(e @ connection::Failure::Unsent(_)), _) => {
-                    self.record_outcome(&id, Outcome::Failed);
+                    self.record_outcome(&id, Outcome::Failed, is_probe);
                     return Err(sent.mark_unsent().fail(Code::UpstreamFailed, e.to_string()));
                 }
                 (Err(e), _) => {
-                    self.record_outcome(&id, Outcome::Failed);
+                    self.record_outcome(&id, Outcome::Failed, is_probe);
                     return Err(sent.fail(Code::UpstreamFailed, e.to_string()));
                 }
             }
@@ -312,9 +310,9 @@
         drop(slot);
     }
 
-    fn record_outcome(&self, id: &str, outcome: Outcome) {
+    fn record_outcome(&self, id: &str, outcome: Outcome, is_probe: bool) {
         let now_ms = self.timer.now_ms();
-        let is_ejected = self.upstreams.lock().record_outcome(id, outcome, now_ms);
+        let is_ejected = self.upstreams.lock().record_outcome(id, outcome, is_probe, now_ms);
         if is_ejected {
             tracing::info!(target: DECISION, choice = id, reason = "failures in a row", "eject");
         }
--- a/src/routing/outlier.rs
+++ b/src/routing/outlier.rs
@@ -36,9 +36,11 @@
         !self.is_ejected || (now_ms >= self.ejected_until_ms && !self.is_probing)
     }
 
-    /// Records that the upstream gets a request; after an ejection that request is the probe.
-    pub fn mark_start(&mut self) {
+    /// Records that the upstream gets a request. Returns whether that request is the probe after an
+    /// ejection.
+    pub fn mark_start(&mut self) -> bool {
         self.is_probing = self.is_ejected;
+        self.is_probing
     }
 
     /// Records a complete answer.
@@ -47,11 +49,14 @@
     }
 
     /// Records a failure. Returns whether the failure ejects it; `may_eject` tells whether the
-    /// limit on ejected upstreams permits one more.
-    pub fn mark_failure(&mut self, now_ms: u64, may_eject: bool) -> bool {
+    /// limit on ejected upstreams permits one more. Failures of requests that started before an
+    /// ejection don't extend it; that of its probe does.
+    pub fn mark_failure(&mut self, now_ms: u64, is_probe: bool, may_eject: bool) -> bool {
+        if self.is_ejected && !is_probe {
+            return false;
+        }
         self.consecutive_failures += 1;
         if self.is_ejected {
-            // Either the probe failed, or a request that started before the ejection.
             self.is_probing = false;
             self.eject(now_ms);
             return true;
@@ -63,8 +68,9 @@
         true
     }
 
-    /// Records that a request ended without evidence for or against the upstream.
-    pub fn mark_inconclusive(&mut self) {
+    /// Records that a probe ended without evidence for or against the upstream: the next request
+    /// becomes the probe.
+    pub fn mark_inconclusive_probe(&mut self) {
         self.is_probing = false;
     }
 
--- a/src/routing/queue.rs
+++ b/src/routing/queue.rs
@@ -289,10 +289,15 @@
         Some((ticket, value))
     }
 
-    /// Reinserts a popped request for which no slot was free, and takes its customer's pass back.
-    pub fn requeue(&mut self, ticket: Ticket, value: T) {
+    /// Takes back the advance of a customer's pass for a popped request that got no slot.
+    pub fn refund(&mut self, ticket: &Ticket) {
         let pass = self.passes.entry((ticket.rank, ticket.customer.clone())).or_default();
         *pass = pass.saturating_sub(STRIDE / u64::from(ticket.share.max(1)));
+    }
+
+    /// Reinserts a popped request for which no slot was free, without charge to its customer.
+    pub fn requeue(&mut self, ticket: Ticket, value: T) {
+        self.refund(&ticket);
         self.insert(ticket, value);
     }
 
--- a/src/routing/slot.rs
+++ b/src/routing/slot.rs
@@ -21,11 +21,13 @@
     router: Arc<Router>,
     /// Upstream that the slot belongs to.
     pub upstream: Upstream,
+    /// Whether the request is the probe of an ejected upstream.
+    pub is_probe: bool,
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.router.upstreams.lock().release(&self.upstream.id);
+        self.router.upstreams.lock().release(&self.upstream.id, self.is_probe);
         self.router.dispatch_waiting();
     }
 }
@@ -134,7 +136,7 @@
             reason = %pick.reason,
             "route"
         );
-        Slot { router: self.clone(), upstream: pick.upstream }
+        Slot { router: self.clone(), upstream: pick.upstream, is_probe: pick.is_probe }
     }
 
     /// Grants free slots to waiting requests. Has to be called after every change of slots or
@@ -159,10 +161,12 @@
         loop {
             let (ticket, sender): Waiter = queue.pop(|kind| !exhausted_kinds.contains(kind))?;
             if sender.is_closed() {
+                queue.refund(&ticket);
                 continue;
             }
             // A slot used for an answer that would miss its deadline is lost to other requests.
             if now_ms + queue.service_time_ms(&ticket.kind, now_ms) >= ticket.deadline_ms {
+                queue.refund(&ticket);
                 return Some((sender, Decision::Late));
             }
             let picked = self.upstreams.lock().pick(&ticket.kind, &[], now_ms, &mut rand::rng());
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -56,6 +56,8 @@
     pub candidates: usize,
     /// Why this upstream was picked.
     pub reason: Reason,
+    /// Whether the request is the probe of an ejected upstream.
+    pub is_probe: bool,
 }
 
 /// Outcome of an exchange with an upstream.
@@ -299,31 +301,40 @@
         let id = sampled.min_by_key(|(_, used)| *used).map(|(id, _)| (*id).clone())?;
         let record = self.records.get_mut(&id)?;
         record.used += 1;
-        record.health.mark_start();
+        let is_probe = record.health.mark_start();
         let address = record.announcement.address;
         let upstream = Upstream { id, address, connections: record.connection_limit };
-        Some(Pick { upstream, candidates, reason })
+        Some(Pick { upstream, candidates, reason, is_probe })
     }
 
-    /// Releases a slot.
-    pub fn release(&mut self, id: &str) {
-        if let Some(record) = self.records.get_mut(id) {
-            record.used = record.used.saturating_sub(1);
-            // A probe whose slot was released unused has no outcome: the next request becomes
-            // the probe.
-            record.health.mark_inconclusive();
+    /// Releases a slot; `is_probe` tells whether its request was the probe of an ejected upstream.
+    pub fn release(&mut self, id: &str, is_probe: bool) {
+        let Some(record) = self.records.get_mut(id) else { return };
+        record.used = record.used.saturating_sub(1);
+        // The slot of a probe may be released without an outcome.
+        if is_probe {
+            record.health.mark_inconclusive_probe();
         }
     }
 
     /// Records the outcome of an exchange. Returns whether it ejected the upstream.
-    pub fn record_outcome(&mut self, id: &str, outcome: Outcome, now_ms: u64) -> bool {
+    pub fn record_outcome(
+        &mut self,
+        id: &str,
+        outcome: Outcome,
+        is_probe: bool,
+        now_ms: u64,
+    ) -> bool {
         let live = self.live_count(now_ms);
         let ejected = self.records.values().filter(|record| record.health.is_ejected()).count();
         let Some(record) = self.records.get_mut(id) else { return false };
         match outcome {
             Outcome::Answered => record.health.mark_success(),
-            Outcome::Unused => record.health.mark_inconclusive(),
-            Outcome::Failed => return record.health.mark_failure(now_ms, may_eject(ejected, live)),
+            Outcome::Unused if is_probe => record.health.mark_inconclusive_probe(),
+            Outcome::Unused => {}
+            Outcome::Failed => {
+                return record.health.mark_failure(now_ms, is_probe, may_eject(ejected, live));
+            }
         }
         false
     }
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -54,6 +54,28 @@
     assert!((29..=31).contains(&large), "{large} of 40 for shares of 3 to 1");
 }
 
+/// Requests whose callers are gone, or that are late, get no slot: their customer is not charged.
+#[test]
+fn a_customer_is_not_charged_for_requests_that_get_no_slot() {
+    let mut queue = new_queue(1_000);
+    for number in 0..40 {
+        let customer = if number < 20 { "gone" } else { "other" };
+        let ticket = ticket(number, customer, 0, 1_000 + number);
+        queue.push(ticket, number, ONE_SLOT, &mut Vec::new()).expect("the queue has room");
+    }
+    let mut order = Vec::new();
+    for _ in 0..20 {
+        let (ticket, number) = queue.pop(|_| true).expect("requests wait");
+        if number < 10 {
+            queue.refund(&ticket);
+            continue;
+        }
+        order.push(ticket.customer);
+    }
+    let served = order.iter().filter(|customer| *customer == "gone").count();
+    assert_eq!(served, order.len() / 2, "{order:?}");
+}
+
 #[test]
 fn full_queue_sheds_the_lowest_rank_and_rejects_more_of_that_rank() {
     let mut queue = new_queue(2);
--- a/tests/upstreams.rs
+++ b/tests/upstreams.rs
@@ -7,7 +7,7 @@
 use eelgrassvalve::routing::outlier::{Health, may_eject};
 use eelgrassvalve::routing::retry::Budget;
 use eelgrassvalve::routing::share::compute_share;
-use eelgrassvalve::routing::table::{Effect, Table};
+use eelgrassvalve::routing::table::{Effect, Outcome, Table};
 use eelgrassvalve::routing::upstream::{Announcement, State, TTL_MS};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -222,7 +222,7 @@
             let mut kept = Vec::new();
             for (index, id) in held.drain(..).enumerate() {
                 if (index + round).is_multiple_of(nth) {
-                    table.release(&id);
+                    table.release(&id, false);
                 } else {
                     kept.push(id);
                 }
@@ -338,19 +338,60 @@
 fn ejected_upstream_gets_one_probe_at_a_time() {
     let mut health = Health::default();
     for _ in 0..5 {
-        health.mark_start();
-        health.mark_failure(0, true);
+        assert!(!health.mark_start());
+        health.mark_failure(0, false, true);
     }
     assert!(!health.is_available(0) && health.is_available(60_000));
-    health.mark_start();
+    assert!(health.mark_start());
     assert!(!health.is_available(60_000), "a probe is in flight");
-    health.mark_failure(60_000, true);
+    health.mark_failure(60_000, true, true);
     assert!(!health.is_available(60_001) && health.is_available(120_000));
     health.mark_start();
     health.mark_success();
     assert!(health.is_available(120_000) && !health.is_ejected());
 }
 
+/// Requests that were in flight when the upstream was ejected end after that.
+#[test]
+fn requests_in_flight_at_an_ejection_do_not_extend_it() {
+    let mut health = Health::default();
+    for _ in 0..12 {
+        health.mark_start();
+    }
+    let ejections: Vec<bool> = (0..12).map(|_| health.mark_failure(0, false, true)).collect();
+    assert_eq!(ejections.iter().filter(|is_ejection| **is_ejection).count(), 1);
+    assert!(health.is_available(2_000), "the first ejection lasts 2 s");
+}
+
+/// Guards against a second probe while the first one is in flight.
+#[test]
+fn a_slot_released_after_an_ejection_does_not_end_the_probe() {
+    let mut table = new_table("a");
+    table.receive("u", &announcement(1, 1, State::Serving), 0);
+    // Keeps the ejected share below its limit.
+    for other in ["v", "w", "x"] {
+        table.receive(
+            other,
+            &Announcement { kinds: ["none".into()].into(), ..announcement(1, 1, State::Serving) },
+            0,
+        );
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut pick = |table: &mut Table, now_ms| table.pick("plan", &[], now_ms, &mut rng);
+    for _ in 0..2 {
+        assert!(!pick(&mut table, 0).expect("the upstream has slots").is_probe);
+    }
+    for _ in 0..5 {
+        table.record_outcome("u", Outcome::Failed, false, 0);
+    }
+    assert_eq!(pick(&mut table, 1), None, "the upstream is ejected");
+    assert!(pick(&mut table, 2_500).expect("the ejection is over").is_probe);
+    table.release("u", false);
+    assert_eq!(pick(&mut table, 2_501), None, "the probe is in flight");
+    table.release("u", true);
+    assert!(pick(&mut table, 2_502).expect("the next request is the probe").is_probe);
+}
+
 #[test]
 fn retries_are_limited_to_a_share_of_successes() {
     let mut budget = Budget::default();
