Replica: only the leader hands over, and batches in flight are counted by index

Change: Campaign is heeded only from the leader of the term. Progress keeps the last index of each batch in flight; an answer ends the batches up to its index.

--- a/src/replica/append.rs
+++ b/src/replica/append.rs
@@ -1,5 +1,7 @@
 //! Log replication, with batching and flow control.
 
+use std::collections::VecDeque;
+
 use super::member::Id;
 use super::{Body, Effect, Entry, Payload, Refusal, Replica, Role};
 
@@ -14,7 +16,10 @@
     pub(super) match_index: u64,
     // Whether `next_index` is an estimate. While it is, only one batch at a time is sent.
     pub(super) is_probing: bool,
-    pub(super) inflight: usize,
+    // Last index of each batch that was sent and not answered.
+    in_flight: VecDeque<u64>,
+    // Whether a snapshot chunk was sent and not answered.
+    pub(super) is_chunk_in_flight: bool,
     // When the leader sent the latest message that the follower has answered, by the leader's
     // clock.
     pub(super) answered_sent_ms: u64,
@@ -31,13 +36,23 @@
             next_index,
             match_index: 0,
             is_probing: true,
-            inflight: 0,
+            in_flight: VecDeque::new(),
+            is_chunk_in_flight: false,
             answered_sent_ms: 0,
             last_answer_ms: now_ms,
             last_sent_ms: 0,
             snapshot_offset: None,
         }
     }
+
+    fn is_unanswered(&self) -> bool {
+        self.is_chunk_in_flight || !self.in_flight.is_empty()
+    }
+
+    fn clear_in_flight(&mut self) {
+        self.in_flight.clear();
+        self.is_chunk_in_flight = false;
+    }
 }
 
 /// Content of a received [`Body::Append`].
@@ -116,8 +131,8 @@
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(progress) = leader.progress.get_mut(&to) else { return };
         // A lost answer would otherwise keep the in-flight count at its limit for good.
-        if progress.inflight > 0 && progress.last_sent_ms + answer_timeout_ms < now_ms {
-            progress.inflight = 0;
+        if progress.is_unanswered() && progress.last_sent_ms + answer_timeout_ms < now_ms {
+            progress.clear_in_flight();
             progress.is_probing = true;
             progress.next_index =
                 progress.next_index.min(last_index + 1).max(progress.match_index + 1);
@@ -131,7 +146,7 @@
         }
         let max_inflight = if progress.is_probing { 1 } else { MAX_INFLIGHT_BATCHES };
         let can_send_entries =
-            progress.inflight < max_inflight && progress.next_index <= last_index;
+            progress.in_flight.len() < max_inflight && progress.next_index <= last_index;
         if !can_send_entries && !is_heartbeat {
             return;
         }
@@ -141,8 +156,8 @@
         } else {
             Vec::new()
         };
-        if !entries.is_empty() {
-            progress.inflight += 1;
+        if let Some(last) = entries.last() {
+            progress.in_flight.push_back(last.index);
             progress.last_sent_ms = now_ms;
             if !progress.is_probing {
                 progress.next_index += entries.len() as u64;
@@ -216,13 +231,16 @@
         let Some(progress) = leader.progress.get_mut(&from) else { return };
         progress.last_answer_ms = now_ms;
         progress.answered_sent_ms = progress.answered_sent_ms.max(sent_ms);
-        progress.inflight = progress.inflight.saturating_sub(1);
+        progress.is_chunk_in_flight = false;
         if matches && index <= last_index {
+            // The answer to an empty heartbeat ends no batch that was sent after it.
+            progress.in_flight.retain(|last| *last > index);
             progress.snapshot_offset = None;
             progress.is_probing = false;
             progress.match_index = progress.match_index.max(index);
             progress.next_index = progress.next_index.max(progress.match_index + 1);
         } else if index < progress.next_index {
+            progress.in_flight.clear();
             progress.is_probing = true;
             progress.next_index = (index + 1).max(progress.match_index + 1);
         }
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -357,7 +357,8 @@
                 self.handle_chunked(from, index, offset, sent_ms);
             }
             Body::Campaign => {
-                if self.members.is_voter(self.id) {
+                // Only the leader hands over its leadership.
+                if self.leader == Some(from) && self.members.is_voter(self.id) {
                     self.campaign(false, true);
                 }
             }
--- a/src/replica/snapshot.rs
+++ b/src/replica/snapshot.rs
@@ -59,12 +59,12 @@
         let head = Snapshot { data: Arc::default(), ..snapshot.clone() };
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(progress) = leader.progress.get_mut(&to) else { return };
-        if progress.inflight > 0 && !is_heartbeat {
+        if progress.is_chunk_in_flight && !is_heartbeat {
             return;
         }
         let offset = progress.snapshot_offset.unwrap_or(0).min(data.0.len() as u64);
         progress.snapshot_offset = Some(offset);
-        progress.inflight = 1;
+        progress.is_chunk_in_flight = true;
         progress.last_sent_ms = now_ms;
         let start = offset as usize;
         let end = data.0.len().min(start + chunk_bytes);
@@ -128,7 +128,7 @@
         let Some(progress) = leader.progress.get_mut(&from) else { return };
         progress.last_answer_ms = now_ms;
         progress.answered_sent_ms = progress.answered_sent_ms.max(sent_ms);
-        progress.inflight = 0;
+        progress.is_chunk_in_flight = false;
         progress.snapshot_offset = Some(if index == snapshot_index { offset } else { 0 });
         self.answer_reads();
         self.send_append(from, false);
