Placement: a worker on which the job failed costs more than any eviction

Change: the additional cost is 2^56, and the cost of a slot is limited below it.

Result: a_worker_on_which_the_job_failed_costs_more_than_any_eviction fails with the old constant and passes now.

--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -242,6 +242,7 @@
         let placement = &self.view.document.placement;
         let cost = |slot: Slot| {
             score::slot_cost(placement, &self.occupancy, &self.plan, customer, slot)
+                .min(score::MAX_SLOT_COST)
                 + self.failure_penalty(job, slot)
         };
         fit::find_slots(&self.occupancy, job, availability, &cost)
@@ -294,7 +295,7 @@
         let now_ms = self.view.now_ms;
         let cost = |slot: Slot| {
             let loss = eviction::slot_loss(&self.occupancy, slot, now_ms);
-            loss.saturating_add(self.failure_penalty(job, slot))
+            loss.min(score::MAX_SLOT_COST) + self.failure_penalty(job, slot)
         };
         fit::find_slots(&self.occupancy, job, &availability, &cost)
     }
--- a/src/placement/score.rs
+++ b/src/placement/score.rs
@@ -15,9 +15,12 @@
 const SPLIT_COST: f64 = 16.0;
 /// Cost for each accelerator left free on the worker.
 const LEFTOVER_COST: f64 = 4.0;
-/// Additional cost of a worker on which the job has failed before; far above all costs of a free
-/// slot.
-pub const FAILED_WORKER_COST: u64 = 1 << 40;
+/// Additional cost of a worker on which the job has failed before; above the cost of any slot, which
+/// [`MAX_SLOT_COST`] limits.
+pub const FAILED_WORKER_COST: u64 = 1 << 56;
+/// Upper limit of the cost of a slot without regard to failures. The costs of a gang's slots can be
+/// added up without overflow.
+pub const MAX_SLOT_COST: u64 = FAILED_WORKER_COST - 1;
 
 /// Weighted cost of a free slot: expected delay from a later eviction, plus fragmentation.
 pub fn slot_cost(
--- a/tests/fault_placement.rs
+++ b/tests/fault_placement.rs
@@ -8,7 +8,7 @@
 use eelgrassvalve::control::gang::{Observation, Rules};
 use eelgrassvalve::placement::health;
 use eelgrassvalve::state::document::Document;
-use eelgrassvalve::state::job::{Adjacency, Command, Disposition, Job, Phase, Spec, Table};
+use eelgrassvalve::state::job::{Adjacency, Command, Disposition, Job, Part, Phase, Spec, Table};
 use eelgrassvalve::state::worker;
 use rstest::rstest;
 use serde_json::json;
@@ -324,3 +324,34 @@
     };
     assert_eq!(decided, expected);
 }
+
+// Places a job on all accelerators of a worker, and returns its epoch.
+fn place_on(replay: &mut Replay, id: &str, worker: &str) -> u64 {
+    let parts = vec![Part { worker: worker.into(), accelerators: 0xff }];
+    replay.apply(Command::Place { id: id.into(), parts, guaranteed: false });
+    replay.jobs.get(id).and_then(|job| job.phase.gang()).expect("the job is placed").epoch
+}
+
+/// The urgent job failed on the worker of `short`. `long` has run for 120 days and can't be
+/// repeated, so that its eviction loses the most.
+#[test]
+fn a_worker_on_which_the_job_failed_costs_more_than_any_eviction() {
+    const RUN_MS: u64 = 120 * 86_400_000;
+    let mut replay = Replay::new(document(), fleet(2, 8), None);
+    let long = Spec { idempotent: false, ..spec("usual", 1, 8) };
+    for (id, spec, worker) in
+        [("long", long, "worker-000"), ("short", spec("usual", 1, 8), "worker-001")]
+    {
+        replay.submit(id, "guest", spec, 2 * RUN_MS);
+        let epoch = place_on(&mut replay, id, worker);
+        replay.apply(Command::Start { id: id.into(), epoch });
+    }
+    replay.step(RUN_MS);
+    replay.submit("urgent", "guest", spec("urgent", 1, 8), 1_000);
+    let epoch = place_on(&mut replay, "urgent", "worker-001");
+    let (id, failed_on) = ("urgent".to_string(), Some("worker-001".into()));
+    replay.apply(Command::Stop { id: id.clone(), epoch, next: Disposition::Wait, failed_on });
+    replay.apply(Command::Stopped { id, epoch, checkpoint: None });
+    replay.decide();
+    assert_eq!((replay.phase("long"), replay.phase("short")), ("stopping", "started"));
+}
