Say that an unknown job may have run; refuse to undo the drain of an upstream

Change: Table::find_job gives the verdict; the drain of an upstream takes a body, and `draining: false` gets 422.

Result: tests in batch_table and contract_operator, one of them for scheduled jobs that aren't due.

--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -8,6 +8,7 @@
 use super::document::{Document, Terms};
 use super::job::{Id, Job, Occurrence, Outcome, Progress, Run, Spec, State, Task, TaskId};
 use super::worker::Exit;
+use crate::error::{Code, Error};
 
 /// Time for which an ended job is kept, in milliseconds: callers may ask for its phase that long.
 const ENDED_JOB_RETENTION_MS: u64 = 300_000;
@@ -126,6 +127,14 @@
         self.live.get(&id).or_else(|| self.ended.get(&id))
     }
 
+    /// A job, live or ended.
+    ///
+    /// # Errors
+    /// If the job is unknown. Ended jobs are kept for a limited time, so that it may have run.
+    pub fn find_job(&self, id: Id) -> Result<&Job> {
+        self.job(id).ok_or_else(|| Error::may_have_run(Code::KeyExpired, format!("no job {id}")))
+    }
+
     /// Whether this run is the active one of its task.
     pub fn is_run_active(&self, task: &TaskId, run: u32) -> bool {
         self.active_run(task).is_some_and(|active| active.number == run)
--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -53,10 +53,10 @@
     if rest.is_empty() {
         return Ok(Answer::Pending(machine.batch.count_pending(&queue.name)));
     }
-    let Some(job) = parse_job_id(rest).ok().and_then(|id| machine.batch.job(id)) else {
-        return Err(Error::not_run(Code::KeyExpired, "no such job"));
+    let Ok(id) = parse_job_id(rest) else {
+        return Err(Error::not_run(Code::KeyExpired, format!("no job {rest}")));
     };
-    Ok(Answer::Phase(job.phase()))
+    Ok(Answer::Phase(machine.batch.find_job(id)?.phase()))
 }
 
 pub(super) async fn cancel(control: &Control, target: &Target) -> Result<Answer> {
@@ -65,9 +65,7 @@
         let machine = control.machine.lock();
         let (_, rest, _) = find_authorized_queue(&machine.batch.document, target)?;
         let id = parse_job_id(rest)?;
-        if machine.batch.job(id).is_none() {
-            return Err(Error::not_run(Code::KeyExpired, "no such job"));
-        }
+        machine.batch.find_job(id)?;
         let runs = machine.batch.live.get(&id).into_iter().flat_map(active_runs);
         let workers: BTreeSet<String> = runs.map(|(_, run)| run.worker.clone()).collect();
         (id, workers)
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -224,6 +224,12 @@
 
     async fn drain_upstream(self, id: String, request: Request) -> Result<Message> {
         self.authorize(&request)?;
+        let bytes = self.0.read_body(request.into_parts().1, shared::MAX_DOCUMENT_BYTES).await?;
+        let is_undo = !bytes.is_empty() && !shared::parse_json::<Drain>(&bytes)?.draining;
+        if is_undo {
+            let message = "the drain of an upstream lasts until its next incarnation";
+            return Err(Error::not_run(Code::Unsatisfiable, message));
+        }
         let update = self.0.router.upstreams.lock().drain(&id);
         let Some(update) = update else {
             return Err(Error::not_run(Code::NotFound, format!("no upstream {id}")));
--- a/tests/batch_table.rs
+++ b/tests/batch_table.rs
@@ -6,6 +6,8 @@
 use eelgrassvalve::batch::job::{Id, Schedule, Spec, Step, TaskId};
 use eelgrassvalve::batch::table::{Command, End, Round, Table};
 use eelgrassvalve::batch::worker::Exit;
+use eelgrassvalve::error::Code;
+use eelgrassvalve::verdict::Verdict;
 use rstest::rstest;
 use support::batch::{Harness, document, gang, step, task_id};
 
@@ -207,6 +209,18 @@
     assert_eq!(harness.table.count_pending("small"), 1);
 }
 
+/// Pending jobs are the accepted ones of which no task has started, due or not.
+#[test]
+fn a_scheduled_job_is_pending_before_it_is_due() {
+    let mut harness = Harness::new();
+    let first_ms = harness.now_ms + 60_000;
+    let schedule = Some(Schedule { count: 2, first_ms, interval_ms: 1_000 });
+    let spec = Spec { payload: "text".into(), steps: vec![step(1)], schedule };
+    harness.submit_spec(1, "small", spec);
+    assert!(!harness.table.has_due_occurrence(harness.now_ms));
+    assert_eq!(harness.table.count_pending("small"), 1);
+}
+
 #[test]
 fn an_ended_job_is_kept_for_the_retention_period() {
     let mut harness = Harness::new();
@@ -218,6 +232,9 @@
     harness.now_ms += 600_000;
     harness.submit(3, "small", vec![step(1)]);
     assert_eq!(harness.phase(1), "unknown");
+    // The job may have run, or may never have been submitted.
+    let unknown = harness.table.find_job(Id(1)).expect_err("the job is no longer kept");
+    assert_eq!((unknown.code, unknown.verdict), (Code::KeyExpired, Verdict::MayHaveRun));
 }
 
 #[rstest]
--- a/tests/contract_operator.rs
+++ b/tests/contract_operator.rs
@@ -77,6 +77,13 @@
         row("POST /v1/workers/A/drain", &[OPERATOR], r#"{"draining":true}"#, bad_request),
         row("POST /v1/workers/a/drain", &[OPERATOR], r#"{"draining":1}"#, bad_request),
         row("POST /v1/upstreams/none/drain", &[OPERATOR], r#"{"draining":true}"#, not_found),
+        row("POST /v1/upstreams/none/drain", &[OPERATOR], "", not_found),
+        row(
+            "POST /v1/upstreams/none/drain",
+            &[OPERATOR],
+            r#"{"draining":false}"#,
+            (422, "unsatisfiable"),
+        ),
     ];
     for line in ["POST /v1/members", "POST /v1/workers/a/drain"] {
         for body in raw::malformed_bodies() {
