Repeat orders that a worker doesn't confirm, and ignore those of an earlier leader

Cause: an_urgent_gang_starts_in_time_on_a_full_cluster was flaky. The answer to a worker's report and orders that the leader pushes meanwhile aren't ordered, so that older orders could replace newer ones at the entry; pushes are lost with their link. Nothing repeated them: a gang whose stop order was lost stayed in `stopping` for good, since that phase has no timeout, and the stand-in worker never confirmed the stop of an epoch that it hadn't prepared. Ruled out: the prepare timeout, which works, but wasn't logged, like all advances of gangs.

Change: each second, the leader pushes orders again to the workers of gangs that haven't confirmed their phase for 1 s. An entry sends a report again if orders were pushed while it was under way. Pushed orders carry the leader's term, and those of an earlier term are ignored; a leader confirms its leadership before it answers a report. A worker stops tasks that no order names, so that orders of a deposed leader would have ended running work. Each advance of a gang is a decision line. The stand-in worker confirms a stop with the epoch of the order, as docs/INTERFACES.md asks.

--- a/src/control/gang.rs
+++ b/src/control/gang.rs
@@ -9,6 +9,9 @@
 
 /// Milliseconds after a start during which a report that lacks the task may be outdated.
 const MAX_REPORT_LAG_MS: u64 = 2_000;
+/// Milliseconds after a phase change from which on orders are repeated to workers that have not
+/// confirmed them.
+const RESEND_AFTER_MS: u64 = 1_000;
 /// Accelerator usage above which a task is throttled, in percent of the declared usage.
 const MAX_USAGE_PERCENT: u32 = 120;
 /// Milliseconds until reported usage reflects a throttle.
@@ -46,6 +49,8 @@
     pub checkpoints: Vec<String>,
     /// Highest accelerator usage of a running part, in percent.
     pub usage_percent: u32,
+    /// Workers that have not confirmed the orders of the current phase.
+    pub unconfirmed: Vec<String>,
 }
 
 impl Observation {
@@ -62,6 +67,9 @@
                 observed.stopped += 1;
                 continue;
             }
+            if !task.is_some_and(|task| is_confirmation(&job.phase, task.state)) {
+                observed.unconfirmed.push(placed.worker.clone());
+            }
             match task {
                 Some(task) => observed.record_task(job, &placed.worker, task),
                 None if clock.is_task_lost(fleet, job, gang, &placed.worker) => {
@@ -99,6 +107,15 @@
     }
 }
 
+// Whether a task in this state shows that its worker received the orders of the phase.
+fn is_confirmation(phase: &Phase, state: State) -> bool {
+    match phase {
+        Phase::Preparing(_) => true,
+        Phase::Started(_) => state != State::Prepared,
+        _ => is_ended(state),
+    }
+}
+
 fn is_ended(state: State) -> bool {
     matches!(state, State::Finished | State::Failed | State::Stopped)
 }
@@ -145,6 +162,13 @@
         }
     }
 
+    /// Workers to which the orders for a gang must be sent again, since earlier ones may be lost.
+    pub fn workers_to_resend<'o>(&self, job: &Job, observed: &'o Observation) -> &'o [String] {
+        let Some(gang) = job.phase.gang() else { return &[] };
+        let is_overdue = self.wall_ms >= gang.since_ms.saturating_add(RESEND_AFTER_MS);
+        if is_overdue { &observed.unconfirmed } else { &[] }
+    }
+
     fn command_while_preparing(
         &self,
         job: &Job,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -289,6 +289,9 @@
     }
 
     async fn report(&self, from: &str, report: Report) -> Result<Vec<Order>> {
+        // The entry passes the orders on, and the worker stops tasks that they don't name: a deposed
+        // leader must not answer.
+        self.group.read().await?;
         let worker = report.worker.clone();
         let now_ms = self.timer.now_ms();
         self.fleet.lock().record_report(from, report, now_ms);
--- a/src/control/scheduler.rs
+++ b/src/control/scheduler.rs
@@ -30,9 +30,10 @@
     let mut round_ticks = control.timer.interval(MAX_ROUND_INTERVAL);
     let mut fragmentation_ticks = control.timer.interval(FRAGMENTATION_INTERVAL);
     loop {
+        let mut is_periodic = false;
         tokio::select! {
             () = control.round_requested.notified() => {}
-            _ = round_ticks.tick() => {}
+            _ = round_ticks.tick() => is_periodic = true,
             _ = fragmentation_ticks.tick() => {
                 if control.group_status().is_leader {
                     record_fragmentation(&control);
@@ -41,17 +42,22 @@
             }
         }
         if control.group_status().is_leader {
-            round(&control).await;
+            round(&control, is_periodic).await;
         }
     }
 }
 
-async fn round(control: &Control) {
+async fn round(control: &Control, is_periodic: bool) {
     if control.group.read().await.is_err() {
         return;
     }
+    let Advance { commands, workers_to_resend } = advance_gangs(control);
+    if is_periodic && !workers_to_resend.is_empty() {
+        tracing::info!(target: DECISION, workers = ?workers_to_resend, "resend unconfirmed orders");
+        push_orders_to(control, &workers_to_resend);
+    }
     // Gangs are advanced and committed before the policy runs, so that it sees what has just ended.
-    let mut commands: Vec<Command> = advance_gangs(control).into_iter().map(Command::Job).collect();
+    let mut commands: Vec<Command> = commands.into_iter().map(Command::Job).collect();
     commands.extend(quarantine_commands(control).into_iter().map(Command::Worker));
     commit(control, commands).await;
     let commands = decide(control).into_iter().map(Command::Job).collect();
@@ -108,9 +114,10 @@
         let grace_ms = machine.config.document.placement.checkpoint_grace_ms;
         orders_by_worker(&machine.jobs, workers, grace_ms)
     };
+    let term = control.group_status().term;
     for (worker, orders) in outgoing {
         let Some(entry) = control.fleet.lock().entry(&worker).map(str::to_string) else { continue };
-        control.deliver(&entry, Notice::Orders { worker, orders });
+        control.deliver(&entry, Notice::Orders { worker, orders, term });
     }
 }
 
@@ -130,8 +137,15 @@
     }
 }
 
-/// Commands that follow from what the workers of each gang reported.
-fn advance_gangs(control: &Control) -> Vec<job::Command> {
+// What follows from the reports of the workers of all gangs.
+#[derive(Default)]
+struct Advance {
+    commands: Vec<job::Command>,
+    // Workers that have not confirmed their orders for too long.
+    workers_to_resend: BTreeSet<String>,
+}
+
+fn advance_gangs(control: &Control) -> Advance {
     let now_ms = control.timer.now_ms();
     let wall_ms = wall_ms();
     let machine = control.machine.lock();
@@ -149,12 +163,43 @@
         leader_for_ms: now_ms.saturating_sub(control.group_status().role_since_ms),
     };
     let fleet = control.fleet.lock();
-    let mut commands = Vec::new();
+    let mut advance = Advance::default();
     for job in machine.jobs.live.values() {
         let observed = gang::Observation::new(&fleet, job, &clock);
-        commands.extend(rules.next_command(job, &observed));
+        let Some(command) = rules.next_command(job, &observed) else {
+            let unconfirmed = rules.workers_to_resend(job, &observed);
+            advance.workers_to_resend.extend(unconfirmed.iter().cloned());
+            continue;
+        };
+        log_advance(job, &observed, &command);
+        advance.commands.push(command);
     }
-    commands
+    advance
+}
+
+fn log_advance(job: &job::Job, observed: &gang::Observation, command: &job::Command) {
+    let change = match command {
+        job::Command::Start { .. } => "start",
+        job::Command::Finish { .. } => "finish",
+        job::Command::Stop { .. } => "stop",
+        job::Command::Stopped { .. } => "stopped",
+        job::Command::Throttle { .. } => "throttle",
+        _ => "other",
+    };
+    let epoch = job.phase.gang().map(|gang| gang.epoch);
+    tracing::info!(
+        target: DECISION,
+        job = job.id,
+        epoch,
+        phase = job.phase.name(),
+        change,
+        prepared = observed.prepared,
+        running = observed.running,
+        stopped = observed.stopped,
+        lost_worker = observed.lost_worker,
+        failed_worker = observed.failed_worker,
+        "advance gang"
+    );
 }
 
 /// Quarantine commands for workers on which tasks of several jobs fail.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,7 +9,7 @@
 pub mod listen;
 pub mod operator;
 pub mod platform;
-mod polls;
+pub mod polls;
 mod request;
 pub mod token;
 
@@ -93,7 +93,9 @@
                     self.renewal_requested.notify_one();
                 }
             }
-            Notice::Orders { worker, orders } => self.polls.set_orders(&worker, orders),
+            Notice::Orders { worker, orders, term } => {
+                self.polls.push_orders(&worker, orders, term);
+            }
             Notice::Upstreams(updates) => self.on_upstream_updates(from, &updates),
             Notice::Beats(heartbeats) => self.on_heartbeats(from, &heartbeats),
             Notice::Want(fingerprints) => self.on_update_request(from, &fingerprints),
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -25,6 +25,9 @@
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
 /// Maximum time for the leader to answer a worker's report with orders.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Maximum number of times that a report is sent while orders that the leader pushed meanwhile make
+/// its answers inconclusive. The leader repeats orders that a worker doesn't confirm.
+const MAX_REPORT_ATTEMPTS: usize = 3;
 
 /// Answer to an announcement.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
@@ -102,16 +105,13 @@
     entry.check_lease()?;
     let (mut orders, report_update) = entry.polls.record_poll(&poll.report, entry.timer.now_ms());
     if report_update != polls::Update::Unchanged {
-        let call = Call::Report(poll.report.clone());
-        match entry.client.call(call, REPORT_TIMEOUT).await {
-            Ok(Answer::Orders(new_orders)) => {
-                entry.polls.set_orders(&poll.report.worker, new_orders);
-                entry.polls.record_reported(poll.report);
-            }
+        let is_reported = entry.report_to_leader(&poll.report).await;
+        match report_update {
+            _ if is_reported => entry.polls.record_reported(poll.report),
             // The worker gets no lease until the leader has recorded which entry grants it. This
             // bounds how long a worker's lease can outlast contact with the leader, even if one
             // entry after another is cut off.
-            _ if report_update == polls::Update::NewWorker => {
+            polls::Update::NewWorker => {
                 let message = "the control members do not know that this entry holds the worker";
                 return Err(Error::not_run(Code::NoLease, message));
             }
@@ -145,6 +145,24 @@
         addresses
     }
 
+    // Sends a worker's report to the leader and sets the orders that it answers. Returns whether the
+    // leader has the report.
+    async fn report_to_leader(&self, report: &Report) -> bool {
+        let mut is_reported = false;
+        for _ in 0..MAX_REPORT_ATTEMPTS {
+            let pushes = self.polls.pushes(&report.worker);
+            let call = Call::Report(report.clone());
+            let Ok(Answer::Orders(orders)) = self.client.call(call, REPORT_TIMEOUT).await else {
+                return is_reported;
+            };
+            is_reported = true;
+            if self.polls.set_orders(&report.worker, orders, pushes) {
+                break;
+            }
+        }
+        is_reported
+    }
+
     fn check_lease(&self) -> Result<()> {
         let now_ms = self.timer.now_ms();
         if self.lease.lock().is_valid(now_ms) {
--- a/src/entry/polls.rs
+++ b/src/entry/polls.rs
@@ -18,6 +18,10 @@
     polled_ms: u64,
     // Whether the leader has been informed that the worker polls this entry.
     is_known_to_leader: bool,
+    // Highest term of the leaders that pushed orders.
+    term: u64,
+    // Number of times that a leader pushed orders.
+    pushes: u64,
 }
 
 /// Whether the leader needs the report of a poll.
@@ -52,11 +56,36 @@
 const POLL_TTL_MS: u64 = 3_000;
 
 impl Polls {
-    /// Sets the orders of a worker and wakes its open poll.
-    pub fn set_orders(&self, worker: &str, orders: Vec<Order>) {
-        if let Some(worker) = self.workers.lock().get(worker) {
-            worker.orders.send_replace(orders);
+    /// Sets the orders of a worker that the leader of a term pushed, and wakes its open poll. Those
+    /// of an earlier leader are ignored: a worker stops tasks that no order names. Leaders that run
+    /// an older release push without a term, as 0.
+    pub fn push_orders(&self, worker: &str, orders: Vec<Order>, term: u64) {
+        let mut workers = self.workers.lock();
+        let Some(worker) = workers.get_mut(worker) else { return };
+        if term != 0 && term < worker.term {
+            return;
         }
+        worker.term = worker.term.max(term);
+        worker.pushes += 1;
+        worker.orders.send_replace(orders);
+    }
+
+    /// Sets the orders that the leader gave in the answer to a report, unless it has pushed orders
+    /// since: which of both are newer is unknown then. `pushes` is the count from before the report
+    /// was sent. Returns whether the orders were set.
+    #[must_use]
+    pub fn set_orders(&self, worker: &str, orders: Vec<Order>, pushes: u64) -> bool {
+        let workers = self.workers.lock();
+        let Some(worker) = workers.get(worker).filter(|worker| worker.pushes == pushes) else {
+            return false;
+        };
+        worker.orders.send_replace(orders);
+        true
+    }
+
+    /// Number of times that orders were pushed for a worker.
+    pub fn pushes(&self, worker: &str) -> u64 {
+        self.workers.lock().get(worker).map_or(0, |worker| worker.pushes)
     }
 
     /// Records a poll. Returns the worker's orders and whether the leader needs the report.
@@ -71,6 +100,8 @@
             report: None,
             polled_ms: 0,
             is_known_to_leader: false,
+            term: 0,
+            pushes: 0,
         });
         // From then on, lease renewals no longer named the worker.
         if worker.polled_ms + POLL_TTL_MS <= now_ms {
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -98,6 +98,9 @@
         worker: String,
         /// All current orders for the worker.
         orders: Vec<crate::placement::order::Order>,
+        /// Term of the leader; 0 from a daemon of an older release.
+        #[serde(default)]
+        term: u64,
     },
     /// Upstreams whose announcements changed at the sender.
     Upstreams(Vec<upstream::Update>),
--- a/tests/fuzz_frame.rs
+++ b/tests/fuzz_frame.rs
@@ -57,8 +57,9 @@
             number,
             answer: Err(Error::may_have_run(Code::NoQuorum, text)),
         }),
-        (".{0,20}", vec(order(), 0..5))
-            .prop_map(|(worker, orders)| Frame::Notice(Notice::Orders { worker, orders })),
+        (".{0,20}", vec(order(), 0..5), any::<u64>()).prop_map(|(worker, orders, term)| {
+            Frame::Notice(Notice::Orders { worker, orders, term })
+        }),
     ]
 }
 
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -189,8 +189,9 @@
                 }
                 Action::Start => self.start_task(&key),
                 Action::Stop { grace_ms } => {
-                    let Some(assignment) = self.tasks.get_mut(&key) else {
-                        // The task is unknown: confirm that it does not run.
+                    let known = self.tasks.get_mut(&key);
+                    let Some(assignment) = known.filter(|task| task.epoch == order.epoch) else {
+                        // The task of this epoch is unknown: confirm that it does not run.
                         let assignment = Assignment {
                             epoch: order.epoch,
                             state: State::Stopped,
