Answer malformed and oversized requests at once; refuse unsupported orders at start

Cause: hyper holds back the response to a head that it can't parse while pipelined responses are aggregated, since bytes of that request are left in its buffer, so that the connection was closed without an answer; a declared length over the limit was refused only after the body or its timeout; heads were limited to 400 KB. `orders = call` in a settings file led to a daemon without service.

Change: responses are no longer aggregated. A declared length over the limit gets 413 at once, a head over `limits.head_bytes` (64 KiB) 431. `batch.orders` accepts only `heartbeat`.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -6,6 +6,7 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http_body::Body as _;
 use http_body_util::{BodyExt, Limited};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -26,12 +27,15 @@
 /// # Errors
 /// `too_large` or `bad_request`, both `not_run`.
 pub async fn read_body(body: Body, limit: usize, timeout: Duration) -> Result<Bytes> {
+    let too_large =
+        || Err(Error::not_run(Code::TooLarge, format!("the body is longer than {limit} bytes")));
+    if body.size_hint().lower() > limit as u64 {
+        return too_large();
+    }
     let collected = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
     match collected {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(Error::not_run(Code::TooLarge, format!("the body is longer than {limit} bytes")))
-        }
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => too_large(),
         Ok(Err(e)) => Err(Error::not_run(Code::BadRequest, format!("the body broke off: {e}"))),
         Err(_) => Err(Error::not_run(Code::BadRequest, "the body did not arrive in time")),
     }
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -25,6 +25,11 @@
 /// If a listener can't be bound.
 pub async fn run(entry: Arc<Entry>, drained: watch::Receiver<bool>) -> miette::Result<()> {
     let listen = entry.settings.listen;
+    let limits = Limits {
+        max_connections: MAX_CONNECTIONS,
+        max_head_bytes: entry.settings.limits.head_bytes,
+        ..Limits::default()
+    };
     let listeners = [
         (listen.callers, caller::router(&entry)),
         (listen.operators, operator::router(&entry)),
@@ -36,7 +41,6 @@
         let handler = Arc::new(Adapter { address, router: router.fallback(shared::not_found) });
         let drained = drained.clone();
         running.spawn(async move {
-            let limits = Limits { max_connections: MAX_CONNECTIONS, ..Limits::default() };
             let result = serve_handler(address, limits, handler, drained).await;
             result.map_err(|e| miette::miette!("listener {address}: {e}"))
         });
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -24,6 +24,8 @@
     /// Time for a client to send the head of a request, including the idle time before it on a
     /// persistent connection.
     pub head_timeout: Duration,
+    /// Maximum size of the head of a request, in bytes.
+    pub max_head_bytes: usize,
     /// Time for a client to send the body of a request.
     pub body_timeout: Duration,
     /// Maximum size of a body, in bytes.
@@ -36,6 +38,7 @@
     fn default() -> Self {
         Self {
             head_timeout: Duration::from_secs(20),
+            max_head_bytes: 64 << 10,
             body_timeout: Duration::from_secs(5),
             max_body_bytes: 1 << 20,
             max_connections: 2_000,
@@ -155,7 +158,12 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(limits.head_timeout).pipeline_flush(true);
+    // The responses of pipelined requests are not aggregated: hyper would then keep back the one to
+    // a malformed head, since bytes of the request are left.
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.max_head_bytes);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = tokio::select! {
@@ -176,6 +184,9 @@
     request: Request<Incoming>,
 ) -> Response<Bytes> {
     let (head, body) = request.into_parts();
+    if body.size_hint().lower() > limits.max_body_bytes as u64 {
+        return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
+    }
     let collect_body = Limited::new(body, limits.max_body_bytes).collect();
     let bytes = match tokio::time::timeout(limits.body_timeout, collect_body).await {
         Ok(Ok(collected)) => collected.to_bytes(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -78,6 +78,8 @@
 /// Limits of a daemon.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// Maximum size of the head of a request.
+    pub head_bytes: usize,
     /// Maximum size of a request or answer body.
     pub body_bytes: usize,
     /// Maximum number of requests queued at this entry.
@@ -295,11 +297,13 @@
 
 impl Limits {
     fn read(reader: &mut Reader<'_>) -> Self {
+        let head_bytes = reader.number("limits.head_bytes", 64 << 10, 8 << 10, 1 << 20);
         let body_bytes = reader.number("limits.body_bytes", 1 << 20, 1_024, 64 << 20);
         let queue_requests = reader.number("limits.queue_requests", 10_000, 1, 100_000);
         let queue_bytes = reader.number("limits.queue_bytes", 64 << 20, 1_024, 1 << 30);
         let upstream_connections = reader.number("limits.upstream_connections", 60, 1, 10_000);
         Self {
+            head_bytes: head_bytes as usize,
             body_bytes: body_bytes as usize,
             queue_requests: queue_requests as usize,
             queue_bytes: queue_bytes as usize,
--- a/src/settings/batch.rs
+++ b/src/settings/batch.rs
@@ -22,6 +22,8 @@
 
 impl Batch {
     pub(super) fn read(reader: &mut Reader<'_>) -> Self {
+        // The only way in which workers receive orders.
+        reader.choice("batch.orders", &["heartbeat"]);
         let seconds = |reader: &mut Reader<'_>, key, default| reader.seconds(key, default);
         Self {
             is_enabled: reader.flag("batch.on", false),
--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -18,6 +18,7 @@
 
 const LIMITS: Limits = Limits {
     head_timeout: Duration::from_millis(200),
+    max_head_bytes: 64 << 10,
     body_timeout: Duration::from_millis(200),
     max_body_bytes: 16,
     max_connections: 2,
@@ -64,6 +65,28 @@
     b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 17\r\n\r\n12345678901234567",
     "413"
 )]
+#[case::declared_length_too_long(
+    b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 40000000\r\n\r\n",
+    "413"
+)]
+#[case::length_over_64_bits(
+    b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000000000000000000\r\n\r\n",
+    "400"
+)]
+#[case::huge_length(
+    b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 10000000000000000000\r\n\r\n",
+    "413"
+)]
+#[case::control_byte_in_a_header_name(b"GET / HTTP/1.1\r\nHo\x01st: a\r\n\r\n", "400")]
+#[case::byte_over_127_in_the_path(b"GET /\xff HTTP/1.1\r\nHost: a\r\n\r\n", "400")]
+#[case::chunk_size_overflow(
+    b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n",
+    "400"
+)]
+#[case::malformed_chunk(
+    b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+    "400"
+)]
 #[case::complete(
     b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc",
     "200"
@@ -76,6 +99,18 @@
     assert_eq!(found, status, "{response}");
 }
 
+#[tokio::test]
+async fn a_head_over_the_limit_is_refused() {
+    let (address, _stop) = listen().await;
+    for (bytes, status) in [(20_000, "200"), (150_000, "431")] {
+        let filler = "a".repeat(bytes);
+        let head =
+            format!("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nFiller: {filler}\r\n\r\n");
+        let response = exchange(address, head.as_bytes()).await;
+        assert_eq!(response.split(' ').nth(1).unwrap_or(""), status, "{bytes}: {response}");
+    }
+}
+
 #[tokio::test]
 async fn number_of_connections_is_limited() {
     let (address, _stop) = listen().await;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -72,6 +72,12 @@
 )]
 #[case::bad_address("127.0.0.1:7005", "127.0.0.1", "listen.mesh")]
 #[case::unknown_table("[tokens]", "[tokns]\na = 1\n[tokens]", "tokns")]
+#[case::unsupported_orders(
+    "[tokens]",
+    "[batch]\non = true\norders = \"call\"\n[tokens]",
+    "batch.orders"
+)]
+#[case::head_limit_too_low("[tokens]", "[limits]\nhead_bytes = 100\n[tokens]", "limits.head_bytes")]
 #[case::syntax("[tokens]", "[tokens", "(syntax)")]
 fn each_fault_is_reported_with_its_key(#[case] from: &str, #[case] to: &str, #[case] key: &str) {
     let text = VALID.replace(from, to);
