Batch: a job or a report can't stop the leader by its figures

Cause: due times, run times, work and demands come from callers and workers, and their sums and products overflowed, which panics in a build with overflow checks and gives wrong orders in one without. A schedule of 2^32 occurrences that are all due opened them all in one round.

Change: arithmetic on figures from outside saturates. The tasks of a job's open occurrences are limited to those that a job may have; later occurrences open as earlier ones are done.

--- a/src/batch/fleet/progress.rs
+++ b/src/batch/fleet/progress.rs
@@ -53,8 +53,9 @@
         } else {
             expected_ms / 100
         };
-        let timeout_ms =
-            (percent_ms * STUCK_PACE_FACTOR).clamp(MIN_STUCK_TIMEOUT_MS, MAX_STUCK_TIMEOUT_MS);
+        let timeout_ms = percent_ms
+            .saturating_mul(STUCK_PACE_FACTOR)
+            .clamp(MIN_STUCK_TIMEOUT_MS, MAX_STUCK_TIMEOUT_MS);
         (timeout_ms << stalls.min(MAX_BACKOFF)).min(MAX_STUCK_TIMEOUT_MS)
     }
 
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -165,7 +165,7 @@
         else {
             return false;
         };
-        now_ms + EVACUATION_LEAD_MS >= self.last_heartbeat_ms + remaining_ms
+        now_ms + EVACUATION_LEAD_MS >= self.last_heartbeat_ms.saturating_add(remaining_ms)
     }
 
     /// Whether the worker runs nothing and has nothing left to report.
@@ -190,7 +190,7 @@
             // its share ends together with the others, at any time.
             let left_ms = match percent {
                 0..5 => MIN_RUN_MS.saturating_sub(ran_ms),
-                5..100 => ran_ms * (100 - percent) / percent,
+                5..100 => ran_ms.saturating_mul(100 - percent) / percent,
                 _ => 0,
             };
             next_ms = Some(next_ms.map_or(left_ms, |least_ms: u64| least_ms.min(left_ms)));
@@ -211,7 +211,7 @@
         let run_ms = estimates.run_ms(&job.queue, step.estimate_ms) as f64;
         let is_remote = !step.data_rack.is_empty() && step.data_rack != self.heartbeat.rack;
         let factor = if is_remote { remote_factor } else { 1 };
-        (run_ms * estimates.slowdown(&self.heartbeat.zone)) as u64 * factor
+        ((run_ms * estimates.slowdown(&self.heartbeat.zone)) as u64).saturating_mul(factor)
     }
 
     pub(super) fn checkpoint(&self, task: &TaskId, run: u32) -> &str {
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -100,18 +100,17 @@
 
     /// Work of a run of this length, in core-milliseconds.
     pub fn work_core_ms(&self, run_ms: u64) -> u64 {
-        let cores_milli =
-            self.cpu_milli + u64::from(self.accelerators) * CORES_PER_ACCELERATOR * 1_000;
-        run_ms * cores_milli / 1_000
+        let accelerator_milli = u64::from(self.accelerators) * CORES_PER_ACCELERATOR * 1_000;
+        run_ms.saturating_mul(self.cpu_milli.saturating_add(accelerator_milli)) / 1_000
     }
 
     /// Adds the resources of a task; processor time of fillers is not counted.
     pub fn add(&mut self, demand: &Self, is_filler: bool) {
         if !is_filler {
-            self.cpu_milli += demand.cpu_milli;
+            self.cpu_milli = self.cpu_milli.saturating_add(demand.cpu_milli);
         }
-        self.memory_mb += demand.memory_mb;
-        self.accelerators += demand.accelerators;
+        self.memory_mb = self.memory_mb.saturating_add(demand.memory_mb);
+        self.accelerators = self.accelerators.saturating_add(demand.accelerators);
     }
 
     /// Number of tasks with this demand that fit.
@@ -363,6 +362,15 @@
         self.spec.schedule.map_or(1, |schedule| schedule.count.max(1))
     }
 
+    /// Whether the next occurrence is due and can be opened. The tasks of open occurrences are limited
+    /// like those of a job without a schedule; later occurrences wait until earlier ones are done.
+    pub fn has_due_occurrence(&self, now_ms: u64) -> bool {
+        let tasks: u64 = self.spec.steps.iter().map(|step| u64::from(step.count)).sum();
+        let has_room = self.occurrences.is_empty()
+            || (self.occurrences.len() as u64 + 1) * tasks <= u64::from(MAX_TASKS);
+        self.opened < self.occurrence_count() && self.due_ms(self.opened) <= now_ms && has_room
+    }
+
     /// When an occurrence is due, in milliseconds since 1970.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
         let Some(schedule) = self.spec.schedule else { return self.accepted_ms };
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -125,8 +125,8 @@
         for (at, worker) in workers.iter().enumerate() {
             let sum = sums.entry(worker.pool.clone()).or_default();
             let (free, capacity) = utilization_amounts(&worker.free, &worker.capacity);
-            sum.0 += free;
-            sum.1 += capacity;
+            sum.0 = sum.0.saturating_add(free);
+            sum.1 = sum.1.saturating_add(capacity);
             if worker.is_open {
                 let key = (worker.pool.clone(), worker.rack.clone());
                 racks.entry(key).or_default().push(at);
--- a/src/batch/plan/allocation.rs
+++ b/src/batch/plan/allocation.rs
@@ -83,8 +83,9 @@
         return true;
     }
     let factor = cluster.view.times.remote_factor;
-    let extra_ms = candidate.run_ms * factor.saturating_sub(1);
-    let done_ms = cluster.view.wall_ms + candidate.remaining_ms + extra_ms;
+    let extra_ms = candidate.run_ms.saturating_mul(factor.saturating_sub(1));
+    let remaining_ms = candidate.remaining_ms.saturating_add(extra_ms);
+    let done_ms = cluster.view.wall_ms.saturating_add(remaining_ms);
     utilization < MAX_UTILIZATION_ON_TIME && done_ms <= candidate.deadline_ms
 }
 
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -67,13 +67,13 @@
         placed: usize,
         reason: &'static str,
     ) -> Explanation {
-        let latest_start_ms = self.deadline_ms as i64 - self.remaining_ms as i64;
+        let latest_start_ms = self.deadline_ms.saturating_sub(self.remaining_ms);
         Explanation {
             step: self.id,
             placed,
             evicted: Vec::new(),
             run_ms: self.run_ms,
-            slack_ms: latest_start_ms - view.wall_ms as i64,
+            slack_ms: latest_start_ms.cast_signed().saturating_sub(view.wall_ms.cast_signed()),
             reason,
         }
     }
@@ -109,8 +109,8 @@
             return 0;
         }
         let tasks = self.tasks.len() as u64;
-        let budget_core_ms =
-            BASE_EVICTION_BUDGET_CORE_MS + tasks * self.step.demand.work_core_ms(self.run_ms);
+        let budget_core_ms = tasks.saturating_mul(self.step.demand.work_core_ms(self.run_ms));
+        let budget_core_ms = budget_core_ms.saturating_add(BASE_EVICTION_BUDGET_CORE_MS);
         if self.is_late { budget_core_ms / LATE_BUDGET_DIVISOR } else { budget_core_ms }
     }
 
@@ -176,7 +176,8 @@
         }
     }
     candidates.sort_by_key(|candidate| {
-        let work = candidate.run_ms * u64::from(candidate.step.demand.accelerators.max(1));
+        let accelerators = u64::from(candidate.step.demand.accelerators.max(1));
+        let work = candidate.run_ms.saturating_mul(accelerators);
         (
             !candidate.is_guarantee_due(view),
             candidate.is_expired,
@@ -199,8 +200,9 @@
 ) -> Candidate<'a> {
     let due_ms = occurrence.due_ms;
     let allowed_ms = allowed_ms(view, job);
-    let deadline_ms = due_ms + allowed_ms;
-    let done_ms = view.wall_ms + remaining_ms;
+    let deadline_ms = due_ms.saturating_add(allowed_ms);
+    let useful_until_ms = due_ms.saturating_add(allowed_ms.saturating_mul(EXPIRY_FACTOR));
+    let done_ms = view.wall_ms.saturating_add(remaining_ms);
     Candidate {
         id,
         job,
@@ -211,7 +213,7 @@
         deadline_ms,
         remaining_ms,
         waited_ms: view.wall_ms.saturating_sub(due_ms),
-        is_expired: !step.is_lasting && done_ms > due_ms + allowed_ms * EXPIRY_FACTOR,
+        is_expired: !step.is_lasting && done_ms > useful_until_ms,
         is_late: !step.is_lasting && done_ms > deadline_ms,
         is_guaranteed: false,
     }
@@ -224,7 +226,8 @@
 
 /// Time after the due time within which a job should complete, in milliseconds.
 pub(super) fn allowed_ms(view: &View<'_>, job: &Job) -> u64 {
-    (job.terms.stretch * critical_path_ms(view, job) as f64) as u64 + job.terms.target_ms
+    let stretched_ms = (job.terms.stretch * critical_path_ms(view, job) as f64) as u64;
+    stretched_ms.saturating_add(job.terms.target_ms)
 }
 
 /// Expected length of the job's critical path, in milliseconds.
@@ -247,7 +250,7 @@
     for (at, step) in job.spec.steps.iter().enumerate() {
         let begin_ms =
             step.after.iter().map(|earlier| ends_ms[*earlier as usize]).max().unwrap_or(0);
-        ends_ms.push(begin_ms + step_ms(at));
+        ends_ms.push(begin_ms.saturating_add(step_ms(at)));
     }
     ends_ms.into_iter().max().unwrap_or(0)
 }
--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -89,8 +89,10 @@
             // A gang that is evicted for several slots is counted once.
             let victims: BTreeSet<usize> =
                 slots.iter().flat_map(|slot| slot.victims.iter().copied()).collect();
-            let cost_core_ms =
-                victims.iter().map(|at| index.victims[*at].cost_core_ms).sum::<u64>();
+            let cost_core_ms = victims
+                .iter()
+                .map(|at| index.victims[*at].cost_core_ms)
+                .fold(0, u64::saturating_add);
             if best.as_ref().is_none_or(|(lowest, _)| cost_core_ms < *lowest) {
                 best = Some((cost_core_ms, slots));
             }
@@ -142,7 +144,7 @@
             let cost_core_ms = pending
                 .iter()
                 .map(|allocation| index.victims[allocation.victim].cost_core_ms)
-                .sum();
+                .fold(0, u64::saturating_add);
             let victims = pending.drain(..).map(|allocation| allocation.victim).collect();
             free.subtract(&step.demand, step.is_filler);
             slots.push(Slot { worker: at, cost_core_ms, victims });
@@ -179,8 +181,8 @@
     let critical_path_ms = super::candidate::critical_path_ms(view, job);
     let allowed_ms = super::candidate::allowed_ms(view, job);
     let due_ms = job.occurrences.values().map(|occurrence| occurrence.due_ms).min();
-    let deadline_ms = due_ms.unwrap_or(job.accepted_ms) + allowed_ms;
-    let would_end_ms = view.wall_ms + critical_path_ms;
+    let deadline_ms = due_ms.unwrap_or(job.accepted_ms).saturating_add(allowed_ms);
+    let would_end_ms = view.wall_ms.saturating_add(critical_path_ms);
     // A job that is late already, or would still end on time, loses little.
     let is_made_late = view.wall_ms < deadline_ms && would_end_ms > deadline_ms;
     if is_made_late { LATENESS_COST_CORE_MS } else { 0 }
@@ -204,8 +206,9 @@
                 let max_loss_ms = view.times.checkpoint_interval_ms + view.times.restore_ms;
                 let lost_ms = if step.is_checkpointing { ran_ms.min(max_loss_ms) } else { ran_ms };
                 let rank = lowest_priority - job.terms.priority;
-                let cost_core_ms =
-                    step.demand.work_core_ms(lost_ms) * (1 + u64::from(rank)) + STOP_COST_CORE_MS;
+                let lost_core_ms =
+                    step.demand.work_core_ms(lost_ms).saturating_mul(1 + u64::from(rank));
+                let cost_core_ms = lost_core_ms.saturating_add(STOP_COST_CORE_MS);
                 let next = index.victims.len();
                 let at = if step.is_gang {
                     *gangs.entry((task.occurrence, task.step)).or_insert(next)
@@ -222,7 +225,7 @@
                 }
                 let victim = &mut index.victims[at];
                 victim.runs.push((task, run.number));
-                victim.cost_core_ms += cost_core_ms;
+                victim.cost_core_ms = victim.cost_core_ms.saturating_add(cost_core_ms);
                 let allocations = index.allocations.entry(run.worker.as_str()).or_default();
                 allocations.push(Allocation {
                     victim: at,
--- a/src/batch/plan/reserve.rs
+++ b/src/batch/plan/reserve.rs
@@ -101,12 +101,12 @@
         let left_ms = if run.is_stopping {
             STOP_MS
         } else if percent >= MIN_PROGRESS_PERCENT {
-            ran_ms * u64::from(100 - percent.min(100)) / u64::from(percent)
+            ran_ms.saturating_mul(u64::from(100 - percent.min(100))) / u64::from(percent)
         } else {
             let run_ms = super::candidate::run_ms(view, job, step) as f64 * slowdown;
             (run_ms as u64).saturating_sub(ran_ms)
         };
-        let at_ms = view.wall_ms + left_ms.max(END_REPORT_MS);
+        let at_ms = view.wall_ms.saturating_add(left_ms.max(END_REPORT_MS));
         releases.push(Release { at_ms, demand: step.demand, is_filler: step.is_filler });
     }
     releases.sort_by_key(|release| release.at_ms);
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -164,9 +164,7 @@
 
     /// Whether an occurrence is due that has not been opened.
     pub fn has_due_occurrence(&self, now_ms: u64) -> bool {
-        self.live
-            .values()
-            .any(|job| job.opened < job.occurrence_count() && job.due_ms(job.opened) <= now_ms)
+        self.live.values().any(|job| job.has_due_occurrence(now_ms))
     }
 
     fn submit(&mut self, submission: &Submission, now_ms: u64) {
@@ -203,7 +201,7 @@
             }
         }
         for job in self.live.values_mut() {
-            while job.opened < job.occurrence_count() && job.due_ms(job.opened) <= round.due_ms {
+            while job.has_due_occurrence(round.due_ms) {
                 open_occurrence(job);
             }
         }
--- a/tests/support/batch.rs
+++ b/tests/support/batch.rs
@@ -1,7 +1,7 @@
 //! Batch jobs, workers and the state of a batch leader for tests, without a network.
 
 use eelgrassvalve::batch::document::{Customer, Document, Pool, Queue, Terms};
-use eelgrassvalve::batch::estimate::Estimates;
+use eelgrassvalve::batch::estimate::{Estimates, Sample};
 use eelgrassvalve::batch::fleet::{Fleet, Receipt};
 use eelgrassvalve::batch::job::{Id, Resources, Spec, Step, TaskId};
 use eelgrassvalve::batch::plan::{Plan, Planner, Times, View};
@@ -197,6 +197,20 @@
         plan
     }
 
+    /// Updates the learned run times from the ended runs that a heartbeat reported.
+    pub fn learn(&mut self, receipt: &Receipt) {
+        for end in receipt.ends.iter().filter(|end| end.how == Exit::Done) {
+            let Some(job) = self.table.live.get(&end.task.job) else { continue };
+            let Some(run) = job.active_run(&end.task) else { continue };
+            self.estimates.learn(&Sample {
+                queue: &job.queue,
+                zone: "zone",
+                declared_ms: job.spec.steps[end.task.step as usize].estimate_ms,
+                took_ms: self.now_ms.saturating_sub(run.placed_ms),
+            });
+        }
+    }
+
     pub fn start(&mut self, task: TaskId, run: u32, worker: &str) {
         let start = Start { task, run, worker: worker.into(), incarnation: 1 };
         self.apply(Command::Round(Round { starts: vec![start], ..Round::default() }));
