A panic in a critical task stops the process with its reason in the log

Cause: a panic in the scheduling rounds, the membership checks or the replica's thread ended that task alone. The process went on as a leader that places nothing, or as a member whose every call failed as overloaded, and nothing in the log said why.

A panic in the task of a single connection still ends that connection only.

Result: tests/kernel.rs, on a task and on a thread; they use the new module, so that they don't compile on the code before.

--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -12,6 +12,7 @@
 use super::status::Member;
 use crate::error::{Code, Error, Result};
 use crate::kernel::lock::Mutex;
+use crate::kernel::task;
 use crate::kernel::timer::Timer;
 use crate::mesh::Mesh;
 use crate::replica::member::{Change, Id};
@@ -98,7 +99,8 @@
             applied_index: 0,
         };
         let builder = std::thread::Builder::new().name("replica".into());
-        builder.spawn(move || driver.run(&receiver)).expect("a thread can be started");
+        let run = move || task::run_critical("replica", move || driver.run(&receiver));
+        builder.spawn(run).expect("a thread can be started");
         Self { requests, status }
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,6 +18,7 @@
 use crate::batch;
 use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Mutex, Rank};
+use crate::kernel::task;
 use crate::kernel::timer::Timer;
 use crate::mesh::Mesh;
 use crate::mesh::call::{Answer, Call, Lease, Renewal};
@@ -87,10 +88,11 @@
             dispatch: dispatch::Dispatch::new(settings),
             local_notice_handler: OnceLock::new(),
         });
-        tokio::spawn(scheduler::run(control.clone()));
+        task::spawn_critical("scheduler", scheduler::run(control.clone()));
         if settings.batch.is_enabled {
-            tokio::spawn(dispatch::round::run(control.clone()));
-            tokio::spawn(dispatch::membership::maintain(control.clone()));
+            task::spawn_critical("rounds", dispatch::round::run(control.clone()));
+            let maintenance = dispatch::membership::maintain(control.clone());
+            task::spawn_critical("membership", maintenance);
         }
         control
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,8 +10,8 @@
 use crate::control::client::Client;
 use crate::entry::{Entry, gossip, lease, listen, token};
 use crate::error::Result;
-use crate::kernel::signal;
 use crate::kernel::timer::Timer;
+use crate::kernel::{signal, task};
 use crate::mesh::call::{Answer, Call};
 use crate::mesh::frame::{Hello, Notice, VERSION};
 use crate::mesh::{Handler, Mesh};
@@ -126,8 +126,8 @@
             .into_diagnostic()
             .wrap_err_with(|| format!("can't listen for links on {}", settings.listen.mesh))?;
         if settings.is_entry {
-            tokio::spawn(lease::renew_periodically(entry.clone()));
-            tokio::spawn(gossip::broadcast_periodically(entry.clone()));
+            task::spawn_critical("lease renewal", lease::renew_periodically(entry.clone()));
+            task::spawn_critical("gossip", gossip::broadcast_periodically(entry.clone()));
         }
         Ok(Daemon { settings, state: Serving { entry, control } })
     }
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -3,4 +3,5 @@
 pub mod lock;
 pub mod plugin;
 pub mod signal;
+pub mod task;
 pub mod timer;
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Mutex, Rank};
+use crate::kernel::task;
 use crate::kernel::timer::Timer;
 use crate::replica;
 use crate::replica::member::Id;
@@ -128,7 +129,8 @@
     ) -> std::io::Result<()> {
         let listener = tokio::net::TcpListener::bind(settings.listen.mesh).await?;
         let key: Arc<[u8]> = key.into();
-        tokio::spawn(link::accept_links(self.clone(), listener, key.clone(), handler.clone()));
+        let accept = link::accept_links(self.clone(), listener, key.clone(), handler.clone());
+        task::spawn_critical("mesh listener", accept);
         for peer in &settings.peers {
             if peer.name <= settings.name {
                 continue;
@@ -153,9 +155,10 @@
     ) -> std::io::Result<()> {
         let listener = tokio::net::TcpListener::bind(settings.listen.mesh).await?;
         let key: Arc<[u8]> = Vec::new().into();
-        tokio::spawn(link::accept_links(self.clone(), listener, key.clone(), handler.clone()));
+        let accept = link::accept_links(self.clone(), listener, key.clone(), handler.clone());
+        task::spawn_critical("mesh listener", accept);
         let discovery = discovery::Discovery::new(self.clone(), settings.listen.mesh, key, handler);
-        tokio::spawn(discovery.run(timer, required_addresses));
+        task::spawn_critical("discovery of links", discovery.run(timer, required_addresses));
         Ok(())
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,6 +13,7 @@
 use crate::control::client::Client;
 use crate::error::Result;
 use crate::kernel::lock::{Mutex, Rank};
+use crate::kernel::task;
 use crate::kernel::timer::Timer;
 use crate::mesh::call::{Answer as CallAnswer, Call};
 use crate::mesh::frame::{Hello, Notice, VERSION};
@@ -115,7 +116,7 @@
             .await
             .into_diagnostic()
             .wrap_err_with(|| format!("can't listen for links on {own_address}"))?;
-        tokio::spawn(maintain_membership(node.clone()));
+        task::spawn_critical("discovery of members", maintain_membership(node.clone()));
         Ok(node)
     }
 
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -4,6 +4,7 @@
 
 use eelgrassvalve::kernel::lock::{Mutex, Rank};
 use eelgrassvalve::kernel::plugin;
+use eelgrassvalve::kernel::task::{self, Panic};
 use eelgrassvalve::kernel::timer::Timer;
 use rstest::rstest;
 
@@ -60,3 +61,44 @@
     assert!(plugin::build_policy("first-fit").is_some());
     assert!(plugin::build_policy("no-such-policy").is_none());
 }
+
+#[rstest]
+#[case::text(|| panic!("no room"), "no room")]
+#[case::formatted(|| panic!("no room for {}", 3), "no room for 3")]
+#[case::without_message(|| std::panic::panic_any(3), "the panic has no message")]
+#[tokio::test]
+async fn a_panic_of_a_task_is_an_error_with_its_message(#[case] task: fn(), #[case] message: &str) {
+    let outcome = task::catch_panic("rounds", async { task() }).await;
+    assert_eq!(outcome, Err(Panic { task: "rounds", reason: message.into() }));
+}
+
+/// Variable that tells the process that runs the test below to be the one that stops.
+const STOPPING_PROCESS: &str = "EELGRASSVALVE_TEST_STOPPING_PROCESS";
+
+/// Without its critical tasks a process would stay a leader that places nothing.
+#[rstest]
+#[case::task("task")]
+#[case::thread("thread")]
+fn a_panic_of_a_critical_task_stops_the_process(#[case] kind: &str) {
+    if let Ok(kind) = std::env::var(STOPPING_PROCESS) {
+        stop_by_panic(&kind);
+        return;
+    }
+    let name = std::thread::current().name().unwrap_or_default().to_string();
+    let mut command = std::process::Command::new(std::env::current_exe().unwrap());
+    let status = command.arg(name).env(STOPPING_PROCESS, kind).output().unwrap().status;
+    assert_eq!(status.code(), Some(task::EXIT_CODE));
+}
+
+fn stop_by_panic(kind: &str) {
+    if kind == "thread" {
+        let run = || task::run_critical("replica", || panic!("no room"));
+        let _ = std::thread::spawn(run).join();
+        return;
+    }
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        task::spawn_critical("rounds", async { panic!("no room") });
+        tokio::time::sleep(Duration::from_secs(10)).await;
+    });
+}
