Fleet: a heartbeat that may be late is no sign that its worker exists

Cause: a heartbeat may arrive seconds late. After a change of leader, a late one of a worker that had left opened a session, and a worker that had gone silent counted as heard when a heartbeat from before arrived. Work was placed there that nobody would start, and it came back only when the lease was certain to have expired, after 6 to 10 s.

Change: a worker gets work once a heartbeat followed an answer of this leader; the first heartbeat is answered at once for that. The age of a heartbeat is bounded by its worker's clock since the one before. Heartbeats without a clock are taken as before.

Three tests of placement gave their workers one heartbeat and give them an answered one more.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -134,9 +134,9 @@
     }
 
     /// Records that the worker's heartbeat with this sequence number was answered.
-    pub fn record_answer(&mut self, worker: &str, sequence: u64) {
+    pub fn record_answer(&mut self, worker: &str, sequence: u64, now_ms: u64) {
         if let Some(session) = self.sessions.get_mut(worker) {
-            session.record_answer(sequence);
+            session.record_answer(sequence, now_ms);
         }
     }
 
@@ -274,7 +274,8 @@
                 labels: heartbeat.labels.clone(),
                 capacity: heartbeat.capacity,
                 free: session.free(name, table),
-                is_open: !heartbeat.is_draining
+                is_open: session.is_confirmed()
+                    && !heartbeat.is_draining
                     && !self.leaving.contains_key(name)
                     && silent_ms < MAX_SILENCE_FOR_WORK_MS
                     && !is_excluded,
@@ -285,9 +286,10 @@
 
     /// Minimum interval between heartbeats of a worker, in milliseconds, so that all workers
     /// together send no more than the leader can answer. The end of a run is still reported at
-    /// once, and a worker with unconfirmed runs is not slowed down.
+    /// once, and a worker that is unconfirmed, or has unconfirmed runs, is not slowed down.
     pub fn min_heartbeat_interval_ms(&self, worker: &str) -> u64 {
-        if self.session(worker).is_some_and(|session| session.has_unconfirmed_runs) {
+        let is_slowed = |session: &Session| session.is_confirmed() && !session.has_unconfirmed_runs;
+        if self.session(worker).is_some_and(|session| !is_slowed(session)) {
             return 0;
         }
         self.sessions.len() as u64 * 1_000 / MAX_HEARTBEATS_PER_S
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -7,7 +7,7 @@
 
 use super::health::Health;
 use super::progress::Progress;
-use super::{MAX_REPORTED_ENDS, lapsed};
+use super::{CLOCK_DRIFT_DIVISOR, MAX_REPORTED_ENDS, lapsed};
 use crate::batch::estimate::Estimates;
 use crate::batch::job::{Resources, TaskId};
 use crate::batch::table::{End, Table};
@@ -28,7 +28,8 @@
 pub struct Session {
     /// Latest heartbeat.
     pub heartbeat: Heartbeat,
-    /// When the latest heartbeat was received, on the leader's clock, in milliseconds.
+    /// Latest time at which the latest heartbeat can have been composed, on the leader's clock, in
+    /// milliseconds. A heartbeat may arrive seconds late, when its worker no longer exists.
     pub last_heartbeat_ms: u64,
     /// When every lease granted to the worker has certainly expired, in milliseconds.
     pub lease_until_ms: u64,
@@ -39,8 +40,9 @@
     pub(super) has_unconfirmed_runs: bool,
     // Whether the latest heartbeat was composed after an answer of this leader had arrived.
     is_current: bool,
-    // Clock of the worker in the latest heartbeat, once that heartbeat was answered.
+    // Clock of the worker in the latest heartbeat, once that heartbeat was answered, and when it was.
     answered_clock_ms: Option<u64>,
+    answered_ms: u64,
     // Runs placed by this leader.
     own_runs: BTreeSet<(TaskId, u32)>,
     // Start orders sent with the answer to the latest heartbeat.
@@ -59,6 +61,7 @@
             has_unconfirmed_runs: false,
             is_current: false,
             answered_clock_ms: None,
+            answered_ms: 0,
             own_runs: BTreeSet::new(),
             sent_starts: BTreeSet::new(),
             progress: BTreeMap::new(),
@@ -68,20 +71,55 @@
 
     // Replaces the latest heartbeat by a newer one of the same incarnation.
     pub(super) fn update(&mut self, heartbeat: Heartbeat, now_ms: u64, lease_until_ms: u64) {
+        self.last_heartbeat_ms = self.composed_ms(&heartbeat, now_ms);
         self.heartbeat = heartbeat;
-        self.last_heartbeat_ms = now_ms;
         self.lease_until_ms = self.lease_until_ms.max(lease_until_ms);
         self.answered_clock_ms = None;
         self.sent_starts.clear();
     }
 
+    // Latest time at which a heartbeat can have been composed: the time of the one before, and what
+    // has passed since then on the worker's clock, which may be slow. A heartbeat that follows an
+    // answer is no older than that answer, even if the worker's clock stood still meanwhile.
+    fn composed_ms(&self, heartbeat: &Heartbeat, now_ms: u64) -> u64 {
+        if heartbeat.sequence == self.heartbeat.sequence {
+            return self.last_heartbeat_ms;
+        }
+        let clocks_ms = heartbeat.clock_ms.zip(self.heartbeat.clock_ms);
+        let Some((clock_ms, earlier_ms)) = clocks_ms else { return now_ms };
+        let passed_ms = clock_ms.saturating_sub(earlier_ms);
+        let composed_ms = self
+            .last_heartbeat_ms
+            .saturating_add(passed_ms)
+            .saturating_add(passed_ms / CLOCK_DRIFT_DIVISOR);
+        let answered_ms = if self.follows_answer(heartbeat) { self.answered_ms } else { 0 };
+        composed_ms.max(answered_ms).min(now_ms)
+    }
+
+    // Whether a heartbeat was composed after the answer to the latest one had arrived. A worker has
+    // one call outstanding at a time, so a heartbeat that follows an answered one within the timeout
+    // of a call follows its answer.
+    fn follows_answer(&self, heartbeat: &Heartbeat) -> bool {
+        let gap_ms = heartbeat.clock_ms.zip(self.answered_clock_ms);
+        let gap_ms = gap_ms.and_then(|(clock_ms, answered)| clock_ms.checked_sub(answered));
+        gap_ms.is_some_and(|gap_ms| gap_ms < MAX_ANSWER_AGE_MS)
+    }
+
     // Records that the heartbeat with this sequence number was answered.
-    pub(super) fn record_answer(&mut self, sequence: u64) {
+    pub(super) fn record_answer(&mut self, sequence: u64, now_ms: u64) {
         if self.heartbeat.sequence == sequence {
             self.answered_clock_ms = self.heartbeat.clock_ms;
+            self.answered_ms = now_ms;
         }
     }
 
+    /// Whether the worker is known to have received an answer of this leader, so that it exists. A
+    /// first heartbeat may be a late one of a worker that has left. Workers that send no clock are
+    /// taken on trust.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_current || self.heartbeat.clock_ms.is_none()
+    }
+
     // Records that this leader placed a run on the worker.
     pub(super) fn record_start(&mut self, task: TaskId, run: u32) {
         self.own_runs.insert((task, run));
@@ -96,13 +134,9 @@
         });
     }
 
-    // Checks whether a heartbeat was composed after an answer of this leader. A worker has one call
-    // outstanding at a time, so a heartbeat that follows an answered one within the timeout of a
-    // call follows its answer.
+    // Checks whether a heartbeat was composed after an answer of this leader.
     pub(super) fn update_currency(&mut self, heartbeat: &Heartbeat) {
-        let gap_ms = heartbeat.clock_ms.zip(self.answered_clock_ms);
-        let gap_ms = gap_ms.and_then(|(clock_ms, answered)| clock_ms.checked_sub(answered));
-        self.is_current |= gap_ms.is_some_and(|gap_ms| gap_ms < MAX_ANSWER_AGE_MS);
+        self.is_current |= self.follows_answer(heartbeat);
     }
 
     // Whether a run that a newer heartbeat does not list is certainly not on the worker. Start orders
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -55,10 +55,12 @@
     let latency_ms = control.timer.now_ms() - received_ms;
     let interval_ms = {
         let mut term_state = control.dispatch.term_state.lock();
-        term_state.fleet.record_answer(&worker, sequence);
+        term_state.fleet.record_answer(&worker, sequence, control.timer.now_ms());
         term_state.fleet.min_heartbeat_interval_ms(&worker)
     };
-    let next_ms = if hold_ms.is_some() { NEXT_HEARTBEAT_MS } else { NEAR_END_HEARTBEAT_MS };
+    let is_held = hold_ms.is_some();
+    let next_ms =
+        if is_held || !receipt.is_confirmed { NEXT_HEARTBEAT_MS } else { NEAR_END_HEARTBEAT_MS };
     orders.lease_ms = Some(control.dispatch.lease_ms);
     orders.term = control.group_status().term;
     orders.next_ms = next_ms.max(interval_ms.saturating_sub(latency_ms));
@@ -73,6 +75,8 @@
     ends: Vec<End>,
     orders: Orders,
     hold_ms: Option<u64>,
+    // Whether the worker has received an answer of this leader before.
+    is_confirmed: bool,
     wake: Arc<Notify>,
 }
 
@@ -97,12 +101,15 @@
     }
     let next_end_ms = session.next_end_ms(&machine.batch, wall_ms());
     let wake = session.orders_ready.clone();
-    Some(Receipt { ends: receipt.ends, orders, hold_ms: hold_ms(has_orders, next_end_ms), wake })
+    // The heartbeat after this answer confirms the worker, so that it gets work.
+    let is_confirmed = session.is_confirmed();
+    let hold_ms = hold_ms(has_orders || !is_confirmed, next_end_ms);
+    Some(Receipt { ends: receipt.ends, orders, hold_ms, is_confirmed, wake })
 }
 
 // How long a heartbeat is held for orders; `None` if it is answered at once.
-fn hold_ms(has_orders: bool, next_end_ms: Option<u64>) -> Option<u64> {
-    if has_orders {
+fn hold_ms(is_urgent: bool, next_end_ms: Option<u64>) -> Option<u64> {
+    if is_urgent {
         return None;
     }
     let hold_ms = next_end_ms.map_or(MAX_HOLD_MS, |end_ms| end_ms.saturating_sub(END_MARGIN_MS));
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -141,7 +141,10 @@
     #[case] start_count: usize,
 ) {
     let mut harness = Harness::with_workers(1);
-    harness.receive_heartbeat("w0", |heartbeat| heartbeat.incarnation = 5);
+    for _ in 0..2 {
+        harness.receive_heartbeat("w0", |heartbeat| heartbeat.incarnation = 5);
+        harness.answer_heartbeat("w0");
+    }
     harness.fleet.mark_leaving("w0", incarnation, harness.now_ms);
     harness.submit(1, "small", vec![step(1)]);
     assert_eq!(harness.run_round().round.starts.len(), start_count);
@@ -383,8 +386,7 @@
     #[case] min_ms: u64,
     #[case] max_ms: u64,
 ) {
-    let mut harness = Harness::with_workers(0);
-    harness.receive_heartbeats(workers);
+    let harness = Harness::with_workers(workers);
     let interval_ms = harness.fleet.min_heartbeat_interval_ms("w0");
     assert!((min_ms..max_ms).contains(&interval_ms), "{interval_ms}");
     assert!(interval_ms * 3 < LEASE_MS * 2, "two of three heartbeats may be lost within a lease");
--- a/tests/fault_takeover.rs
+++ b/tests/fault_takeover.rs
@@ -70,8 +70,7 @@
     let orders = harness.fleet.issue_orders("w0", &harness.table);
     assert_eq!(orders.stop, [(task_id(1, 0, 0), 1)], "a late start must be rejected");
     if is_answered {
-        let sequence = harness.fleet.session("w0").expect("it has a session").heartbeat.sequence;
-        harness.fleet.record_answer("w0", sequence);
+        harness.answer_heartbeat("w0");
     }
     harness.now_ms += gap_ms.unwrap_or(150);
     let receipt = harness.receive_heartbeat("w0", |heartbeat| {
@@ -83,6 +82,51 @@
     assert_eq!(interval_ms, 0, "a worker with an unconfirmed run sends its heartbeats at once");
 }
 
+fn is_open(harness: &Harness, worker: &str) -> bool {
+    let workers = harness.fleet.workers(&harness.table, harness.now_ms);
+    workers.iter().any(|known| known.name == worker && known.is_open)
+}
+
+/// The first heartbeat that a new leader receives may be a late one of a worker that has left. The
+/// one that follows its answer is not.
+#[rstest]
+#[case::follows_an_answer(Some(150), true)]
+#[case::sent_after_a_timeout(Some(1_000), false)]
+fn a_new_leader_places_work_only_on_workers_that_received_its_answer(
+    #[case] gap_ms: Option<u64>,
+    #[case] expected: bool,
+) {
+    let mut harness = Harness::new();
+    harness.submit(1, "small", vec![step(1)]);
+    harness.receive_heartbeats(1);
+    assert!(harness.run_round().round.starts.is_empty(), "it may have left");
+    harness.now_ms += gap_ms.unwrap_or(0);
+    harness.receive_heartbeats(1);
+    assert_eq!(is_open(&harness, "w0"), expected);
+    assert_eq!(harness.run_round().round.starts.len(), usize::from(expected));
+}
+
+/// A heartbeat that is composed `composed_ms` after the one before, by the worker's clock, and arrives
+/// after 4 s: delayed by the network, or by a worker that stood still together with its clock. One
+/// that follows its answer shows that the worker is there.
+#[rstest]
+#[case::in_time(4_000, true)]
+#[case::of_a_slow_clock(3_920, true)]
+#[case::delayed(200, false)]
+fn a_delayed_heartbeat_is_no_sign_of_life(#[case] composed_ms: u64, #[case] expected: bool) {
+    let mut harness = Harness::with_workers(1);
+    let composed_ms = harness.now_ms + composed_ms;
+    harness.now_ms += 4_000;
+    let beat_at = |harness: &mut Harness, clock_ms| {
+        harness.receive_heartbeat("w0", |heartbeat| heartbeat.clock_ms = Some(clock_ms));
+    };
+    beat_at(&mut harness, composed_ms);
+    assert_eq!(is_open(&harness, "w0"), expected);
+    harness.answer_heartbeat("w0");
+    beat_at(&mut harness, composed_ms + 50);
+    assert!(is_open(&harness, "w0"), "it follows an answer");
+}
+
 /// A worker lists 500 ends at most, so that a run which is not listed may have ended.
 #[test]
 fn a_full_list_of_ends_does_not_end_a_run_that_is_not_listed() {
--- a/tests/load_gangs.rs
+++ b/tests/load_gangs.rs
@@ -12,7 +12,8 @@
     let mut harness = Harness::with_workers(3);
     harness.submit(1, "large", vec![gang(4)]);
     assert!(harness.run_round().round.starts.is_empty());
-    harness.receive_heartbeat("w3", |_| {});
+    harness.receive_heartbeats(4);
+    harness.receive_heartbeats(4);
     let plan = harness.run_round();
     assert_eq!(plan.round.starts.len(), 4);
     assert!(plan.round.starts.iter().all(|start| start.run == 1));
--- a/tests/support/batch.rs
+++ b/tests/support/batch.rs
@@ -88,9 +88,9 @@
     /// A harness with `count` idle workers in racks of four: `w0` to `w3` in rack `r0`, and so on.
     pub fn with_workers(count: usize) -> Self {
         let mut harness = Self::new();
-        for index in 0..count {
-            harness.receive_heartbeat(&format!("w{index}"), |_| {});
-        }
+        // The second heartbeat confirms that the worker received the answer to the first.
+        harness.receive_heartbeats(count);
+        harness.receive_heartbeats(count);
         harness
     }
 
@@ -168,13 +168,22 @@
         self.fleet.stuck_runs(&self.table, &self.estimates, 3)
     }
 
-    /// Receives an unchanged heartbeat from each of the first `count` workers.
+    /// Receives and answers an unchanged heartbeat of each of the first `count` workers.
     pub fn receive_heartbeats(&mut self, count: usize) {
         for index in 0..count {
-            self.receive_heartbeat(&format!("w{index}"), |_| {});
+            let worker = format!("w{index}");
+            self.receive_heartbeat(&worker, |_| {});
+            self.answer_heartbeat(&worker);
         }
     }
 
+    /// Records that the latest heartbeat of a worker was answered.
+    pub fn answer_heartbeat(&mut self, worker: &str) {
+        let session = self.fleet.session(worker).expect("it has a session");
+        let sequence = session.heartbeat.sequence;
+        self.fleet.record_answer(worker, sequence, self.now_ms);
+    }
+
     /// Plans one round and commits it.
     pub fn run_round(&mut self) -> Plan {
         let view = View {
--- a/tests/support/takeover.rs
+++ b/tests/support/takeover.rs
@@ -169,7 +169,8 @@
         self.ends.extend(receipt.ends);
         self.commit_ends();
         let mut orders = self.harness.fleet.issue_orders(&name, &self.harness.table);
-        self.harness.fleet.record_answer(&name, sequence);
+        let now_ms = self.harness.now_ms;
+        self.harness.fleet.record_answer(&name, sequence, now_ms);
         orders.lease_ms = Some(LEASE_MS);
         orders.term = self.term;
         orders.next_ms = self.random.random_range(20..300);
