Rounds and orders belong to the term whose view of the workers they rest on

Cause: a leader decides a round, or derives orders, from what it has heard in its term, and only then proposes or sends. One that was suspended in between, deposed and elected again would have proposed the old decision in its new term, and labelled orders with that term, so that workers that had obeyed the leader between accepted them.

Change: Group::propose_in_term refuses a proposal once its term is over; rounds use it. A fleet has the term of its leader, and the orders that it issues carry it.

Also: fault_group's member campaigned on the word of a member that didn't lead, which is ignored since, so that its three tests timed out. It now receives the hand-over from a leader, as any member has to, and leads term 2.

Result: two new cases in fault_group and one in fault_takeover; they call what is new.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -78,6 +78,7 @@
 /// All workers.
 #[derive(Debug, Default)]
 pub struct Fleet {
+    term: u64,
     sessions: BTreeMap<String, Session>,
     // Workers that announced their leave, and when their runs count as lost.
     leaving: BTreeMap<String, u64>,
@@ -88,6 +89,16 @@
 }
 
 impl Fleet {
+    /// An empty fleet of the leader of a term.
+    pub fn of_term(term: u64) -> Self {
+        Self { term, ..Self::default() }
+    }
+
+    /// Term of the leader whose view this is.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
     /// Receives a heartbeat and returns which runs placed on the worker have ended.
     pub fn receive(
         &mut self,
@@ -303,9 +314,10 @@
     }
 
     /// Derives the orders for a worker from the table and the worker's latest heartbeat, and
-    /// records the starts as sent.
+    /// records the starts as sent. The orders carry the term of this view: a worker ignores those of
+    /// an earlier term than the latest that it has seen.
     pub fn issue_orders(&mut self, worker: &str, table: &Table) -> Orders {
-        let mut orders = Orders::default();
+        let mut orders = Orders { term: self.term, ..Orders::default() };
         let Some(session) = self.sessions.get_mut(worker) else { return orders };
         let heartbeat = &session.heartbeat;
         for end in &heartbeat.ended {
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::batch::estimate::{Estimates, Sample};
 use crate::batch::fleet::Fleet;
 use crate::batch::plan::{Planner, Times};
-use crate::batch::table::{Command as Batch, End, Table as Jobs};
+use crate::batch::table::{Command as Batch, End, Round, Table as Jobs};
 use crate::batch::worker::Exit;
 use crate::error::Result;
 use crate::kernel::lock::{Mutex, Rank};
@@ -40,7 +40,6 @@
 // State that is valid for one term of leadership only; the estimates outlive it.
 #[derive(Default)]
 struct Term {
-    term: u64,
     fleet: Fleet,
     planner: Planner,
     estimates: Estimates,
@@ -101,14 +100,24 @@
     Ok(())
 }
 
+// Proposes a round that was decided on what this leader knew in a term.
+async fn propose_round(control: &Control, round: Round, term: u64) -> Result<()> {
+    let started = Instant::now();
+    let command = Command::Batch(Batch::Round(round));
+    control.group.propose_in_term(command, term, COMMIT_TIMEOUT).await?;
+    Metrics::global().record_commit(started.elapsed().as_secs_f64());
+    Ok(())
+}
+
 impl Term {
     // Heartbeats of an earlier term are outdated; only the estimates are kept.
     fn reset_on_new_term(&mut self, control: &Control) {
         let term = control.group_status().term;
-        if self.term != term {
-            *self =
-                Self { term, estimates: std::mem::take(&mut self.estimates), ..Self::default() };
+        if self.fleet.term() == term {
+            return;
         }
+        let estimates = std::mem::take(&mut self.estimates);
+        *self = Self { fleet: Fleet::of_term(term), estimates, ..Self::default() };
     }
 
     fn record_durations(&mut self, table: &Jobs, ends: &[End]) {
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -62,7 +62,6 @@
     let next_ms =
         if is_held || !receipt.is_confirmed { NEXT_HEARTBEAT_MS } else { NEAR_END_HEARTBEAT_MS };
     orders.lease_ms = Some(control.dispatch.lease_ms);
-    orders.term = control.group_status().term;
     orders.next_ms = next_ms.max(interval_ms.saturating_sub(latency_ms));
     orders.leader = control.settings.name.clone();
     log_orders(&worker, &orders);
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -5,11 +5,11 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use super::{Control, Term, propose};
+use super::{Control, Term, propose_round};
 use crate::batch::fleet::lease_bound_ms;
 use crate::batch::job::{Id, TaskId, active_runs};
 use crate::batch::plan::{Plan, View};
-use crate::batch::table::{Command as Batch, Round};
+use crate::batch::table::Round;
 use crate::error::Result;
 use crate::kernel::timer::wall_ms;
 use crate::telemetry::{DECISION, Metrics};
@@ -56,18 +56,18 @@
     let dispatch = &control.dispatch;
     let mut workers_to_wake = BTreeSet::new();
     let started = Instant::now();
-    let changes = collect_changes(control);
+    let (changes, term) = collect_changes(control);
     *busy += started.elapsed();
     if !changes.is_empty() {
         log_ends(control, &changes);
         let jobs: BTreeSet<Id> = changes.ends.iter().map(|end| end.task.job).collect();
         let runs_before = continuing_runs(control, &jobs);
-        propose(control, Batch::Round(changes)).await?;
+        propose_round(control, changes, term).await?;
         log_outcomes(control, &jobs);
         workers_to_wake.extend(workers_of_stopping_runs(control, &runs_before));
     }
     let started = Instant::now();
-    let plan = decide(control);
+    let (plan, term) = decide(control);
     log_load(control, &plan);
     *busy += started.elapsed();
     Metrics::global().record_placement(started.elapsed().as_secs_f64());
@@ -76,7 +76,7 @@
         log_plan(control, &plan);
         workers_to_wake.extend(plan.round.starts.iter().map(|start| start.worker.clone()));
         workers_to_wake.extend(workers_of_stops(control, &plan.round));
-        propose(control, Batch::Round(plan.round)).await?;
+        propose_round(control, plan.round, term).await?;
     }
     dispatch.rounds.send_modify(|number| *number += 1);
     let term_state = dispatch.term_state.lock();
@@ -109,8 +109,9 @@
     stopping.map(|(_, _, worker)| worker.clone()).collect()
 }
 
-// Collects ended runs, lost runs and due occurrences of scheduled jobs.
-fn collect_changes(control: &Control) -> Round {
+// Collects ended runs, lost runs and due occurrences of scheduled jobs. Also returns the term in which
+// the leader has learned of them.
+fn collect_changes(control: &Control) -> (Round, u64) {
     let now_ms = control.timer.now_ms();
     let machine = control.machine.lock();
     let mut term_state = control.dispatch.term_state.lock();
@@ -123,10 +124,11 @@
     ends.retain(|end| machine.batch.is_run_active(&end.task, end.run));
     let wall_ms = wall_ms();
     let due_ms = if machine.batch.has_due_occurrence(wall_ms) { wall_ms } else { 0 };
-    Round { ends, due_ms, ..Round::default() }
+    (Round { ends, due_ms, ..Round::default() }, term_state.fleet.term())
 }
 
-fn decide(control: &Control) -> Plan {
+// Also returns the term on whose view of the workers the plan rests.
+fn decide(control: &Control) -> (Plan, u64) {
     let now_ms = control.timer.now_ms();
     let machine = control.machine.lock();
     let mut term_state = control.dispatch.term_state.lock();
@@ -155,7 +157,7 @@
         tracing::info!(target: DECISION, task = %name, run, "stopping run that makes no progress");
         plan.round.stops.push((name, run));
     }
-    plan
+    (plan, fleet.term())
 }
 
 // Logs the load of each pool at most once per second, however many rounds there are.
--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -49,7 +49,7 @@
 }
 
 enum Request {
-    Propose { command: Box<Command>, done: oneshot::Sender<Result<Reply>> },
+    Propose { command: Box<Command>, term: Option<u64>, done: oneshot::Sender<Result<Reply>> },
     Change { change: Change, done: oneshot::Sender<Result<Reply>> },
     Read { done: oneshot::Sender<Result<Reply>> },
     Message { from: Id, message: Message },
@@ -120,9 +120,33 @@
     /// `not_run` if the command was not appended to the log; `may_have_run` if the outcome is
     /// unknown.
     pub async fn propose(&self, command: Command, within: Duration) -> Result<Reply> {
+        self.propose_within(command, None, within).await
+    }
+
+    /// As [`Group::propose`], but only while this member leads the given term. A decision that rests
+    /// on what the leader of a term has heard is void in a later one, even if the same member leads
+    /// it.
+    ///
+    /// # Errors
+    /// As for [`Group::propose`]; `not_run` if the term is over.
+    pub async fn propose_in_term(
+        &self,
+        command: Command,
+        term: u64,
+        within: Duration,
+    ) -> Result<Reply> {
+        self.propose_within(command, Some(term), within).await
+    }
+
+    async fn propose_within(
+        &self,
+        command: Command,
+        term: Option<u64>,
+        within: Duration,
+    ) -> Result<Reply> {
         let (done, reply) = oneshot::channel();
         let command = Box::new(command);
-        self.send(Request::Propose { command, done })?;
+        self.send(Request::Propose { command, term, done })?;
         await_reply(reply, within).await
     }
 
--- a/src/control/group/driver.rs
+++ b/src/control/group/driver.rs
@@ -138,7 +138,12 @@
                 let _ = done.send(Err(Error::not_run(Code::OverLimit, message)));
                 return;
             }
-            Request::Propose { command, done } => {
+            Request::Propose { term: Some(term), done, .. } if term != self.replica.term() => {
+                let message = format!("term {term} is over; this is term {}", self.replica.term());
+                let _ = done.send(Err(Error::not_run(Code::NotLeader, message)));
+                return;
+            }
+            Request::Propose { command, done, .. } => {
                 let command = encode(&state::Record { at_ms: wall_ms(), command: *command });
                 if command.len() > MAX_COMMAND_BYTES {
                     let message = "the change is too long for the log";
--- a/tests/fault_group.rs
+++ b/tests/fault_group.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use eelgrassvalve::control::Group;
 use eelgrassvalve::error::Error;
@@ -23,6 +24,9 @@
 /// Index of the only proposal, after the initial snapshot (1) and the no-op of the term (2).
 const PROPOSAL_INDEX: u64 = 3;
 
+/// Term in which the member leads, after that of the leader that handed over to it.
+const LEADER_TERM: u64 = 2;
+
 fn start_group(cluster: &Cluster) -> Group {
     cluster.write_settings(0, &|peer| peer.mesh());
     let settings = Settings::load(&cluster.settings_path(0)).expect("the settings are valid");
@@ -52,9 +56,13 @@
 
 async fn start_leader(cluster: &Cluster) -> Group {
     let group = start_group(cluster);
-    group.receive(Id(2), Message { term: 0, body: Body::Campaign });
+    // A member campaigns at once only when the leader hands over to it.
+    let entries = Vec::new();
+    let heartbeat = Body::Append { prev_index: 1, prev_term: 0, entries, commit: 1, sent_ms: 0 };
+    group.receive(Id(2), Message { term: 1, body: heartbeat });
+    group.receive(Id(2), Message { term: 1, body: Body::Campaign });
     let vote = Body::Answer { pre: false, granted: true };
-    group.receive(Id(2), Message { term: 1, body: vote });
+    group.receive(Id(2), Message { term: LEADER_TERM, body: vote });
     wait_until("the group to lead", || async { group.status().is_leader.then_some(()) }).await;
     group
 }
@@ -65,14 +73,14 @@
 }
 
 fn conflicting_entries() -> Body {
-    let noop = |index| Entry { index, term: 2, payload: Payload::Noop };
+    let noop = |index| Entry { index, term: LEADER_TERM + 1, payload: Payload::Noop };
     let entries = vec![noop(2), noop(PROPOSAL_INDEX)];
     Body::Append { prev_index: 1, prev_term: 0, entries, commit: PROPOSAL_INDEX, sent_ms: 0 }
 }
 
 fn conflicting_snapshot() -> Body {
     let piece = Bytes(encode(&Machine::default()));
-    let head = Snapshot { index: PROPOSAL_INDEX, term: 2, ..Snapshot::default() };
+    let head = Snapshot { index: PROPOSAL_INDEX, term: LEADER_TERM + 1, ..Snapshot::default() };
     let length = piece.0.len() as u64;
     Body::Chunk { head, offset: 0, piece, length, sent_ms: 0 }
 }
@@ -92,7 +100,7 @@
             (last_index(&group).await == PROPOSAL_INDEX).then_some(())
         })
         .await;
-        group.receive(Id(3), Message { term: 2, body });
+        group.receive(Id(3), Message { term: LEADER_TERM + 1, body });
     };
     let joined = tokio::time::timeout(WAIT_TIMEOUT / 2, async { tokio::join!(proposal, depose) });
     let (answer, ()) = joined.await.expect("an answer before the proposal times out");
@@ -101,6 +109,23 @@
     assert_eq!(returned, verdict, "{message}");
 }
 
+/// A leader that was suspended between a decision and its proposal may lead a later term when it
+/// resumes.
+#[rstest]
+#[case::earlier_term(LEADER_TERM - 1, false)]
+#[case::this_term(LEADER_TERM, true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_decision_of_an_earlier_term_is_not_proposed(#[case] term: u64, #[case] expected: bool) {
+    let cluster = Cluster::new(1, 1);
+    let group = start_leader(&cluster).await;
+    let command = worker::Command::Drain { worker: "worker-1".into(), draining: true };
+    let command = Command::Worker(command);
+    let proposal = group.propose_in_term(command, term, Duration::from_millis(300));
+    let error = proposal.await.expect_err("no quorum answers");
+    let verdict = if expected { Verdict::MayHaveRun } else { Verdict::NotRun };
+    assert_eq!(error.verdict, verdict, "{}", error.message);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn read_at_a_leader_without_a_quorum_is_refused() {
     let cluster = Cluster::new(1, 1);
--- a/tests/fault_takeover.rs
+++ b/tests/fault_takeover.rs
@@ -82,6 +82,16 @@
     assert_eq!(interval_ms, 0, "a worker with an unconfirmed run sends its heartbeats at once");
 }
 
+/// A member that was deposed and elected again while a heartbeat was held answers it by what it knew
+/// in its earlier term.
+#[test]
+fn orders_carry_the_term_of_the_view_that_they_rest_on() {
+    let mut harness = with_inherited_stopping_run();
+    harness.fleet = Fleet::of_term(5);
+    harness.receive_heartbeat("w0", |_| {});
+    assert_eq!(harness.fleet.issue_orders("w0", &harness.table).term, 5);
+}
+
 fn is_open(harness: &Harness, worker: &str) -> bool {
     let workers = harness.fleet.workers(&harness.table, harness.now_ms);
     workers.iter().any(|known| known.name == worker && known.is_open)
--- a/tests/support/takeover.rs
+++ b/tests/support/takeover.rs
@@ -59,6 +59,7 @@
 impl Simulation {
     pub fn run(seed: u64) {
         let mut harness = Harness::with_workers(0);
+        harness.fleet = Fleet::of_term(1);
         harness.submit(1, "small", vec![step(TASKS)]);
         let mut simulation = Self {
             random: SmallRng::seed_from_u64(seed),
@@ -103,7 +104,7 @@
     fn change_leader(&mut self) {
         self.term += 1;
         self.since_ms = self.harness.now_ms;
-        self.harness.fleet = Fleet::default();
+        self.harness.fleet = Fleet::of_term(self.term);
         self.ends.clear();
     }
 
@@ -172,7 +173,6 @@
         let now_ms = self.harness.now_ms;
         self.harness.fleet.record_answer(&name, sequence, now_ms);
         orders.lease_ms = Some(LEASE_MS);
-        orders.term = self.term;
         orders.next_ms = self.random.random_range(20..300);
         let worker = name[1..].parse().expect("a worker name is a letter and a number");
         self.send(Packet::Answer { worker, sequence, orders });
