--- a/tests/upstreams.rs
+++ b/tests/upstreams.rs
@@ -124,6 +124,22 @@
     assert!(!is_open(&stale, 21));
 }
 
+/// A restarted entry has forgotten which upstreams leave; another entry tells it when they are linked.
+#[test]
+fn a_restarted_entry_does_not_use_an_upstream_that_leaves() {
+    let mut other = new_table("host-2");
+    other.receive("runner-1", &announcement(1, 5, Leaving), 1_000);
+    let mut restarted = new_table("host-1");
+    for update in other.all_updates(20_000) {
+        restarted.merge(&update.id, &update.announce, 20_000 - update.age_ms);
+    }
+    let late = restarted.receive("runner-1", &announcement(1, 4, Serving), 20_100);
+    let unaware = restarted.receive("runner-1", &announcement(1, 6, Serving), 20_200);
+    assert_eq!((late, unaware), (Effect::AlreadyLeaving, Effect::AlreadyLeaving));
+    let statuses = restarted.statuses(20_300);
+    assert!(statuses.iter().all(|status| status.announce.state == Leaving), "{statuses:?}");
+}
+
 #[test]
 fn table_size_is_bounded_and_expired_rows_are_evicted() {
     let mut table = new_table("host-1");
