Large fleets: reads under the lease, heartbeats over the followers, connections by descriptors

The listener closed connections beyond 2,000, so that a third of the workers tried one member after the other; each heartbeat cost two hand-overs to the replica's thread, which also waits for syncs of the log, and several copies of the group's status.

Change: a read under a valid lease is answered without the replica's thread: it publishes the lease, and revokes it before it sends anything that lets another member lead. A listener accepts three quarters of the descriptors in connections. Queued frames are written together. A decision borrows its workers and compares fewer names.

--- a/examples/batch.rs
+++ b/examples/batch.rs
@@ -43,7 +43,8 @@
 
 fn measure(workers: usize) {
     let mut leader = Leader::new();
-    for index in 0..workers {
+    // A worker gets work after the heartbeat that follows the answer to its first one.
+    for index in (0..workers).chain(0..workers) {
         leader.time_heartbeat(index);
     }
     // Small tasks occupy seven of eight accelerators, and large gangs wait for whole workers.
@@ -190,6 +191,7 @@
         let started = Instant::now();
         black_box(self.fleet.receive(heartbeat, &self.table, LEASE_MS, self.now_ms));
         black_box(self.fleet.issue_orders(&worker, &self.table));
+        self.fleet.record_answer(&worker, self.sequence, self.now_ms);
         started.elapsed()
     }
 }
--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -44,19 +44,19 @@
 
 /// A worker as placement sees it, with its free capacity.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Worker {
+pub struct Worker<'a> {
     /// Unique name of the worker.
-    pub name: String,
+    pub name: &'a str,
     /// Incarnation from the latest heartbeat.
     pub incarnation: u64,
     /// Pool that the worker belongs to.
-    pub pool: String,
+    pub pool: &'a str,
     /// Availability zone.
-    pub zone: String,
+    pub zone: &'a str,
     /// Rack in which the worker is.
-    pub rack: String,
+    pub rack: &'a str,
     /// Labels by which steps select workers.
-    pub labels: Vec<String>,
+    pub labels: &'a [String],
     /// Total resources.
     pub capacity: Resources,
     /// Free resources.
@@ -267,7 +267,7 @@
     }
 
     /// Returns every worker that is part of its pool, with its free capacity, sorted by name.
-    pub fn workers(&self, table: &Table, now_ms: u64) -> Vec<Worker> {
+    pub fn workers(&self, table: &Table, now_ms: u64) -> Vec<Worker<'_>> {
         let mut workers = Vec::new();
         for (name, session) in &self.sessions {
             let heartbeat = &session.heartbeat;
@@ -277,12 +277,12 @@
             }
             let is_excluded = session.health.is_excluded(now_ms);
             workers.push(Worker {
-                name: name.clone(),
+                name,
                 incarnation: heartbeat.incarnation,
-                pool: heartbeat.pool.clone(),
-                zone: heartbeat.zone.clone(),
-                rack: heartbeat.rack.clone(),
-                labels: heartbeat.labels.clone(),
+                pool: &heartbeat.pool,
+                zone: &heartbeat.zone,
+                rack: &heartbeat.rack,
+                labels: &heartbeat.labels,
                 capacity: heartbeat.capacity,
                 free: session.free(name, table),
                 is_open: session.is_confirmed()
@@ -307,6 +307,11 @@
         self.sessions.len() as u64 * 1_000 / MAX_HEARTBEATS_PER_S
     }
 
+    /// Number of workers with a session.
+    pub fn size(&self) -> usize {
+        self.sessions.len()
+    }
+
     /// Wakes the held heartbeat of a worker so that it is answered.
     pub fn wake(&self, worker: &str) {
         if let Some(session) = self.sessions.get(worker) {
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -112,23 +112,25 @@
 /// Workers with the capacity that is left during a decision.
 struct Cluster<'a> {
     view: View<'a>,
-    workers: Vec<Worker>,
-    racks: BTreeMap<(String, String), Vec<usize>>,
-    utilization: BTreeMap<String, f64>,
+    // Sorted by name.
+    workers: Vec<Worker<'a>>,
+    // Open workers by pool and rack.
+    racks: BTreeMap<(&'a str, &'a str), Vec<usize>>,
+    utilization: BTreeMap<&'a str, f64>,
 }
 
 impl<'a> Cluster<'a> {
     fn new(view: View<'a>) -> Self {
         let workers = view.fleet.workers(view.table, view.now_ms);
         let mut racks: BTreeMap<_, Vec<usize>> = BTreeMap::new();
-        let mut sums: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+        let mut sums: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
         for (at, worker) in workers.iter().enumerate() {
-            let sum = sums.entry(worker.pool.clone()).or_default();
+            let sum = sums.entry(worker.pool).or_default();
             let (free, capacity) = utilization_amounts(&worker.free, &worker.capacity);
             sum.0 = sum.0.saturating_add(free);
             sum.1 = sum.1.saturating_add(capacity);
             if worker.is_open {
-                let key = (worker.pool.clone(), worker.rack.clone());
+                let key = (worker.pool, worker.rack);
                 racks.entry(key).or_default().push(at);
             }
         }
@@ -142,6 +144,10 @@
         self.utilization.get(pool).copied().unwrap_or(1.0)
     }
 
+    fn position(&self, worker: &str) -> Option<usize> {
+        self.workers.binary_search_by_key(&worker, |known| known.name).ok()
+    }
+
     fn allocate(&mut self, worker: usize, demand: &Resources, is_filler: bool, count: u64) {
         for _ in 0..count {
             self.workers[worker].free.subtract(demand, is_filler);
@@ -169,7 +175,7 @@
 
 /// Whether these workers could hold a step if they were empty: all tasks of a gang, or one task of
 /// any other step.
-fn can_hold<'a>(workers: impl Iterator<Item = &'a Worker>, step: &Step) -> bool {
+fn can_hold<'a>(workers: impl Iterator<Item = &'a Worker<'a>>, step: &Step) -> bool {
     let required = if step.is_gang { u64::from(step.count) } else { 1 };
     let mut total = 0u64;
     for worker in workers {
@@ -187,7 +193,11 @@
 
 /// Returns the first step that the workers of a pool could not hold even if they were empty; `None`
 /// if the pool has no workers, since its capacity is unknown then.
-pub fn find_unsatisfiable_step(workers: &[Worker], pool: &str, steps: &[Step]) -> Option<usize> {
+pub fn find_unsatisfiable_step(
+    workers: &[Worker<'_>],
+    pool: &str,
+    steps: &[Step],
+) -> Option<usize> {
     let of_pool = || workers.iter().filter(|worker| worker.pool == pool);
     of_pool().next()?;
     steps.iter().position(|step| !can_hold(of_pool(), step))
@@ -263,13 +273,15 @@
     reservations: usize,
     // Free capacity only shrinks within a decision, so a class that did not fit once is not tried
     // again.
-    unplaceable: BTreeSet<Class>,
+    unplaceable: BTreeSet<Class<'a>>,
 }
 
 impl<'a> Decision<'a> {
     fn new(view: View<'a>) -> Self {
         let cluster = Cluster::new(view);
-        let plan = Plan { utilization: cluster.utilization.clone(), ..Plan::default() };
+        let utilization =
+            cluster.utilization.iter().map(|(pool, share)| (pool.to_string(), *share));
+        let plan = Plan { utilization: utilization.collect(), ..Plan::default() };
         let unplaceable = BTreeSet::new();
         Self {
             view,
@@ -338,7 +350,7 @@
             plan.round.starts.push(Start {
                 task,
                 run,
-                worker: worker.name.clone(),
+                worker: worker.name.to_string(),
                 incarnation: worker.incarnation,
             });
         }
@@ -352,8 +364,8 @@
     candidate: &Candidate<'_>,
     slots: &BTreeMap<String, u64>,
 ) {
-    for at in 0..cluster.workers.len() {
-        let Some(count) = slots.get(&cluster.workers[at].name) else { continue };
+    for (worker, count) in slots {
+        let Some(at) = cluster.position(worker) else { continue };
         cluster.allocate(at, &candidate.step.demand, candidate.step.is_filler, *count);
     }
 }
--- a/src/batch/plan/allocation.rs
+++ b/src/batch/plan/allocation.rs
@@ -94,7 +94,7 @@
     candidate: &Candidate<'_>,
     rack: &str,
 ) -> Vec<(usize, u64)> {
-    let key = (candidate.job.terms.pool.clone(), rack.to_string());
+    let key = (candidate.job.terms.pool.as_str(), rack);
     let Some(members) = cluster.racks.get(&key) else { return Vec::new() };
     free_slots(cluster, candidate, members)
 }
@@ -162,10 +162,7 @@
         }
     }
     // Best fit: the worker with the least room comes first, which limits fragmentation.
-    slots.sort_by_key(|(at, count)| {
-        let worker = &cluster.workers[*at];
-        (worker.free.accelerators, *count, worker.name.clone())
-    });
+    slots.sort_by_key(|(at, count)| (cluster.workers[*at].free.accelerators, *count, *at));
     slots
 }
 
@@ -173,18 +170,22 @@
 pub(super) fn is_eligible(
     cluster: &Cluster<'_>,
     candidate: &Candidate<'_>,
-    worker: &Worker,
+    worker: &Worker<'_>,
 ) -> bool {
     has_label(worker, &candidate.step.label) && !has_failed_recently(cluster, candidate, worker)
 }
 
-pub(super) fn has_label(worker: &Worker, label: &str) -> bool {
+pub(super) fn has_label(worker: &Worker<'_>, label: &str) -> bool {
     label.is_empty() || worker.labels.iter().any(|own| own == label)
 }
 
 // Whether a waiting task failed on the worker a short time ago. The worker is avoided only for a
 // while, since it may be the only one left later.
-fn has_failed_recently(cluster: &Cluster<'_>, candidate: &Candidate<'_>, worker: &Worker) -> bool {
+fn has_failed_recently(
+    cluster: &Cluster<'_>,
+    candidate: &Candidate<'_>,
+    worker: &Worker<'_>,
+) -> bool {
     let tasks = &candidate.progress.tasks;
     let failed = |index: &u32| {
         let task = &tasks[*index as usize];
@@ -196,11 +197,11 @@
 
 /// Maximum number of tasks of the step that may be placed on a worker. It never exceeds the number
 /// of waiting tasks: any number of tasks without resource demand would fit.
-pub(super) fn task_limit_on(candidate: &Candidate<'_>, worker: &Worker) -> u64 {
+pub(super) fn task_limit_on(candidate: &Candidate<'_>, worker: &Worker<'_>) -> u64 {
     let tasks = candidate.tasks.len() as u64;
     match u64::from(candidate.step.per_worker) {
         0 => tasks,
-        limit => tasks.min(limit.saturating_sub(count_tasks_on(candidate, &worker.name))),
+        limit => tasks.min(limit.saturating_sub(count_tasks_on(candidate, worker.name))),
     }
 }
 
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -52,7 +52,7 @@
     pub is_guaranteed: bool,
 }
 
-impl Candidate<'_> {
+impl<'a> Candidate<'a> {
     /// Number of the next run of a gang; `None` for other steps, whose tasks are numbered one by
     /// one.
     pub fn next_gang_run(&self) -> Option<u32> {
@@ -79,15 +79,15 @@
     }
 
     /// Class of candidates that either all fit or all don't fit into the same free capacity.
-    pub(super) fn equivalence_class(&self) -> Class {
+    pub(super) fn equivalence_class(&self) -> Class<'a> {
         let step = self.step;
         let demand = &step.demand;
         Class {
-            pool: self.job.terms.pool.clone(),
+            pool: &self.job.terms.pool,
             demand: (demand.cpu_milli, demand.memory_mb, demand.accelerators),
             count: if step.is_gang { self.tasks.len() as u64 } else { 1 },
-            label: step.label.clone(),
-            data_rack: step.data_rack.clone(),
+            label: &step.label,
+            data_rack: &step.data_rack,
             is_rack_local: step.is_rack_local,
             limited_step: if step.per_worker > 0 { Some(self.id) } else { None },
             locality_relaxation: self.locality_relaxation(),
@@ -138,12 +138,12 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Class {
-    pool: String,
+pub(super) struct Class<'a> {
+    pool: &'a str,
     demand: (u64, u64, u32),
     count: u64,
-    label: String,
-    data_rack: String,
+    label: &'a str,
+    data_rack: &'a str,
     is_rack_local: bool,
     // The step itself if it limits its tasks per worker, since what fits then depends on its tasks.
     limited_step: Option<StepId>,
--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -104,7 +104,7 @@
         let mut slots = BTreeMap::new();
         let mut victims = BTreeSet::new();
         for slot in best_slots {
-            *slots.entry(cluster.workers[slot.worker].name.clone()).or_insert(0) += 1;
+            *slots.entry(cluster.workers[slot.worker].name.to_string()).or_insert(0) += 1;
             victims.extend(slot.victims);
         }
         if victims.is_empty() && step.is_gang {
@@ -133,7 +133,7 @@
     let mut free = worker.free;
     let mut slots = Vec::new();
     let mut pending: Vec<Allocation> = Vec::new();
-    let allocations = index.allocations.get(worker.name.as_str()).map_or(&[][..], Vec::as_slice);
+    let allocations = index.allocations.get(worker.name).map_or(&[][..], Vec::as_slice);
     let mut evictable = allocations.iter().filter(|allocation| {
         index.victims[allocation.victim].priority > candidate.job.terms.priority
             && !evicted.contains(&allocation.victim)
--- a/src/batch/plan/reserve.rs
+++ b/src/batch/plan/reserve.rs
@@ -52,7 +52,7 @@
     }
     let mut reserved = BTreeMap::new();
     for slot in best? {
-        *reserved.entry(cluster.workers[slot.worker].name.clone()).or_insert(0) += 1;
+        *reserved.entry(cluster.workers[slot.worker].name.to_string()).or_insert(0) += 1;
     }
     Some(reserved)
 }
@@ -86,10 +86,10 @@
 fn releases_on(cluster: &Cluster<'_>, at: usize) -> Vec<Release> {
     let view = &cluster.view;
     let worker = &cluster.workers[at];
-    let session = view.fleet.session(&worker.name);
-    let slowdown = view.estimates.slowdown(&worker.zone);
+    let session = view.fleet.session(worker.name);
+    let slowdown = view.estimates.slowdown(worker.zone);
     let mut releases = Vec::new();
-    for (task, run) in view.table.runs_on(&worker.name) {
+    for (task, run) in view.table.runs_on(worker.name) {
         let Some(job) = view.table.live.get(&task.job) else { continue };
         let step = &job.spec.steps[task.step as usize];
         if step.is_lasting {
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -131,5 +131,6 @@
     /// Time to wait before the next heartbeat, in milliseconds.
     pub next_ms: u64,
     /// Name of the daemon that further heartbeats should be sent to.
-    pub leader: String,
+    #[serde(rename = "leader")]
+    pub next_member: String,
 }
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -61,21 +61,26 @@
     }
 }
 
-/// Handles a batch request at the leader and counts refusals.
-pub(super) async fn handle_request(control: &Control, request: Request) -> Result<Answer> {
-    let answer = route_request(control, request).await;
+/// Handles a batch request at the leader and counts refusals. `receiver` is the daemon that received
+/// the request from its sender.
+pub(super) async fn handle_request(
+    control: &Control,
+    receiver: &str,
+    request: Request,
+) -> Result<Answer> {
+    let answer = route_request(control, receiver, request).await;
     if let Err(error) = &answer {
         Metrics::global().count_refusal(error.code);
     }
     answer
 }
 
-async fn route_request(control: &Control, request: Request) -> Result<Answer> {
+async fn route_request(control: &Control, receiver: &str, request: Request) -> Result<Answer> {
     match request {
         Request::Submit { target, spec } => caller::submit(control, &target, spec).await,
         Request::Status(target) => caller::status(control, &target).await,
         Request::Cancel(target) => caller::cancel(control, &target).await,
-        Request::Beat(heartbeat) => heartbeat::handle(control, *heartbeat).await,
+        Request::Beat(heartbeat) => heartbeat::handle(control, receiver, *heartbeat).await,
         Request::Leave { worker, incarnation } => {
             heartbeat::leave(control, &worker, incarnation).await
         }
@@ -112,7 +117,7 @@
 impl Term {
     // Heartbeats of an earlier term are outdated; only the estimates are kept.
     fn reset_on_new_term(&mut self, control: &Control) {
-        let term = control.group_status().term;
+        let term = control.group.term();
         if self.fleet.term() == term {
             return;
         }
--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -113,11 +113,12 @@
 // workers must have sent it a heartbeat.
 fn reject_impossible(control: &Control, jobs: &Table, queue: &Queue, spec: &Spec) -> Result<()> {
     let now_ms = control.timer.now_ms();
-    let leader_for_ms = now_ms.saturating_sub(control.group_status().role_since_ms);
+    let leader_for_ms = now_ms.saturating_sub(control.group.role_since_ms());
     if leader_for_ms < lease_bound_ms(control.dispatch.lease_ms) {
         return Ok(());
     }
-    let places = control.dispatch.term_state.lock().fleet.workers(jobs, now_ms);
+    let term_state = control.dispatch.term_state.lock();
+    let places = term_state.fleet.workers(jobs, now_ms);
     match find_unsatisfiable_step(&places, &queue.terms.pool, &spec.steps) {
         Some(step) => {
             let message = format!("no workers of the pool could hold step {step}");
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -6,6 +6,7 @@
 use tokio::sync::Notify;
 
 use super::{Control, Result};
+use crate::batch::balance;
 use crate::batch::call::Answer;
 use crate::batch::table::End;
 use crate::batch::worker::{Heartbeat, Orders};
@@ -29,7 +30,11 @@
 /// once.
 const NEAR_END_HEARTBEAT_MS: u64 = 150;
 
-pub(super) async fn handle(control: &Control, heartbeat: Heartbeat) -> Result<Answer> {
+pub(super) async fn handle(
+    control: &Control,
+    receiver: &str,
+    heartbeat: Heartbeat,
+) -> Result<Answer> {
     control.group.read().await?;
     let received_ms = control.timer.now_ms();
     let (worker, sequence) = (heartbeat.worker.clone(), heartbeat.sequence);
@@ -53,22 +58,33 @@
         orders = control.dispatch.term_state.lock().fleet.issue_orders(&worker, &machine.batch);
     }
     let latency_ms = control.timer.now_ms() - received_ms;
-    let interval_ms = {
+    let (interval_ms, workers) = {
         let mut term_state = control.dispatch.term_state.lock();
         term_state.fleet.record_answer(&worker, sequence, control.timer.now_ms());
-        term_state.fleet.min_heartbeat_interval_ms(&worker)
+        (term_state.fleet.min_heartbeat_interval_ms(&worker), term_state.fleet.size())
     };
     let is_held = hold_ms.is_some();
     let next_ms =
         if is_held || !receipt.is_confirmed { NEXT_HEARTBEAT_MS } else { NEAR_END_HEARTBEAT_MS };
     orders.lease_ms = Some(control.dispatch.lease_ms);
     orders.next_ms = next_ms.max(interval_ms.saturating_sub(latency_ms));
-    orders.leader = control.settings.name.clone();
+    orders.next_member = next_member(control, &worker, receiver, workers);
     log_orders(&worker, &orders);
     Metrics::global().record_heartbeat(latency_ms as f64 / 1_000.0);
     Ok(Answer::Orders(Box::new(orders)))
 }
 
+// Member to which the worker should send its next heartbeat.
+fn next_member(control: &Control, worker: &str, receiver: &str, workers: usize) -> String {
+    let status = control.group.borrow_status();
+    let view = balance::View {
+        leader: &control.settings.name,
+        followers: &status.responsive_followers(),
+        workers,
+    };
+    balance::next_member(&view, worker, receiver).to_string()
+}
+
 // Result of recording a heartbeat.
 struct Receipt {
     ends: Vec<End>,
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -29,7 +29,7 @@
             () = control.dispatch.round_requested.notified() => {}
             () = control.timer.sleep(Duration::from_millis(MAX_ROUND_INTERVAL_MS)) => {}
         }
-        if !control.group_status().is_leader || control.group.read().await.is_err() {
+        if !control.group.is_leader() || control.group.read().await.is_err() {
             continue;
         }
         let (busy, outcome) = run_timed_round(&control).await;
@@ -117,7 +117,7 @@
     let mut term_state = control.dispatch.term_state.lock();
     term_state.reset_on_new_term(control);
     let mut ends = std::mem::take(&mut term_state.ends);
-    let role_since_ms = control.group_status().role_since_ms;
+    let role_since_ms = control.group.role_since_ms();
     let takeover_until_ms = role_since_ms + lease_bound_ms(control.dispatch.lease_ms);
     ends.extend(term_state.fleet.lost_runs(&machine.batch, takeover_until_ms, now_ms));
     term_state.fleet.remove_departed(now_ms);
--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -2,6 +2,7 @@
 //! storage.
 
 mod driver;
+mod leadership;
 
 use std::sync::Arc;
 use std::sync::mpsc::{SyncSender, sync_channel};
@@ -21,6 +22,7 @@
 use crate::settings::Settings;
 use crate::state::{Command, Machine, Reply};
 use driver::Driver;
+use leadership::Leadership;
 
 /// Capacity of the queue of requests to the replica thread.
 const QUEUE_CAPACITY: usize = 8_192;
@@ -31,6 +33,10 @@
 /// Attempts to transfer leadership before the leader stops without a transfer.
 const MAX_TRANSFER_ATTEMPTS: usize = 3;
 
+/// Time without an answer after which a follower does not count as responsive, in milliseconds:
+/// several heartbeats of the leader.
+const MAX_FOLLOWER_SILENCE_MS: u64 = 1_000;
+
 /// Role, leader and members, as last published by the replica thread.
 #[derive(Clone, Debug, Default)]
 pub struct Status {
@@ -48,6 +54,18 @@
     pub members: Vec<Member>,
 }
 
+impl Status {
+    /// Names of the members other than the leader that have answered it recently.
+    pub fn responsive_followers(&self) -> Vec<&str> {
+        let is_responsive = |member: &&Member| {
+            Some(&member.name) != self.leader_name.as_ref()
+                && member.matched > 0
+                && member.silent_ms < MAX_FOLLOWER_SILENCE_MS
+        };
+        self.members.iter().filter(is_responsive).map(|member| member.name.as_str()).collect()
+    }
+}
+
 enum Request {
     Propose { command: Box<Command>, term: Option<u64>, done: oneshot::Sender<Result<Reply>> },
     Change { change: Change, done: oneshot::Sender<Result<Reply>> },
@@ -61,6 +79,8 @@
 pub struct Group {
     requests: SyncSender<Request>,
     status: watch::Receiver<Status>,
+    leadership: Arc<Leadership>,
+    timer: Timer,
 }
 
 impl Group {
@@ -82,6 +102,7 @@
         };
         driver::restore(&machine, &saved.snapshot.data.0);
         let replica = Replica::new(store.id(), timing, saved, rand::random(), timer.now_ms());
+        let leadership = Arc::new(Leadership::default());
         let driver = Driver {
             timing,
             reopens_store: settings.batch.is_enabled,
@@ -89,7 +110,8 @@
             store,
             machine,
             mesh,
-            timer,
+            timer: timer.clone(),
+            leadership: leadership.clone(),
             log_bytes: settings.limits.log_bytes,
             status: sender,
             next_token: 1,
@@ -101,7 +123,7 @@
         let builder = std::thread::Builder::new().name("replica".into());
         let run = move || task::run_critical("replica", move || driver.run(&receiver));
         builder.spawn(run).expect("a thread can be started");
-        Self { requests, status }
+        Self { requests, status, leadership, timer }
     }
 
     /// Role, leader and members as last published.
@@ -109,6 +131,31 @@
         self.status.borrow().clone()
     }
 
+    /// As [`Group::status`], without a copy. The replica thread can't publish while it is borrowed.
+    pub fn borrow_status(&self) -> watch::Ref<'_, Status> {
+        self.status.borrow()
+    }
+
+    /// Whether this member leads, as last published.
+    pub fn is_leader(&self) -> bool {
+        self.status.borrow().is_leader
+    }
+
+    /// Current term, as last published.
+    pub fn term(&self) -> u64 {
+        self.status.borrow().term
+    }
+
+    /// Start of the current role and term, in milliseconds on the daemon's clock.
+    pub fn role_since_ms(&self) -> u64 {
+        self.status.borrow().role_since_ms
+    }
+
+    /// Name of the leader's daemon, if it is known.
+    pub fn leader_name(&self) -> Option<String> {
+        self.status.borrow().leader_name.clone()
+    }
+
     /// Queues a message from another replica; drops it if the queue is full.
     pub fn receive(&self, from: Id, message: Message) {
         let _ = self.requests.try_send(Request::Message { from, message });
@@ -166,6 +213,9 @@
     /// # Errors
     /// If this member does not lead, or no quorum answers.
     pub async fn read(&self) -> Result<()> {
+        if self.leadership.is_confirmed(|| self.timer.now_ms()) {
+            return Ok(());
+        }
         let (done, reply) = oneshot::channel();
         self.send(Request::Read { done })?;
         match await_reply(reply, READ_TIMEOUT).await {
--- a/src/control/group/driver.rs
+++ b/src/control/group/driver.rs
@@ -8,6 +8,7 @@
 
 use tokio::sync::{oneshot, watch};
 
+use super::leadership::Leadership;
 use super::{Request, Status};
 use crate::control::status::Member;
 use crate::error::{Code, Error, Result};
@@ -54,6 +55,7 @@
     pub(super) machine: Arc<Mutex<Machine>>,
     pub(super) mesh: Mesh,
     pub(super) timer: Timer,
+    pub(super) leadership: Arc<Leadership>,
     pub(super) log_bytes: u64,
     pub(super) status: watch::Sender<Status>,
     pub(super) next_token: u64,
@@ -84,13 +86,15 @@
             }
             let now_ms = self.timer.now_ms();
             if now_ms >= self.replica.next_tick_ms() {
-                effects.extend(self.replica.step(Input::Tick, now_ms));
+                effects.extend(self.step(Input::Tick, now_ms));
             }
             if now_ms >= published_ms + PUBLISH_INTERVAL_MS {
                 published_ms = now_ms;
                 self.publish_status();
             }
-            if let Err(error) = self.process_effects(effects).and_then(|()| self.compact_if_due()) {
+            let outcome = self.process_effects(effects).and_then(|()| self.compact_if_due());
+            self.confirm_leadership();
+            if let Err(error) = outcome {
                 // Entries that were not synced must never be acknowledged.
                 tracing::error!(%error, "data folder failed");
                 if !self.reopens_store {
@@ -101,6 +105,25 @@
         }
     }
 
+    // Revokes a lost lease before any effect of the step becomes visible to other members.
+    fn step(&mut self, input: Input, now_ms: u64) -> Vec<Effect> {
+        let effects = self.replica.step(input, now_ms);
+        if !self.replica.holds_lease() {
+            self.leadership.revoke();
+        }
+        effects
+    }
+
+    // Reads are served on other threads while this member holds a lease and its state machine
+    // reflects what earlier leaders have acknowledged.
+    fn confirm_leadership(&self) {
+        let until_ms = self.replica.lease_until_ms();
+        match until_ms.filter(|_| self.replica.covers_earlier_terms(self.applied_index)) {
+            Some(until_ms) => self.leadership.confirm(until_ms),
+            None => self.leadership.revoke(),
+        }
+    }
+
     // Exact to the millisecond: members that wake on the same coarse ticks would split the vote.
     fn idle_timeout(&self) -> Duration {
         let wait_ms = self.replica.next_tick_ms().saturating_sub(self.timer.now_ms());
@@ -109,6 +132,7 @@
 
     // Waits until the data folder works again, then continues as after a start of the process.
     fn recover_store(&mut self, receiver: &Receiver<Request>) {
+        self.leadership.revoke();
         self.status.send_modify(|status| status.is_leader = false);
         let saved = loop {
             std::thread::sleep(REOPEN_INTERVAL);
@@ -159,7 +183,7 @@
             Request::Message { from, message } => Input::Message { from, message },
             Request::Transfer => Input::Transfer,
         };
-        effects.extend(self.replica.step(input, now_ms));
+        effects.extend(self.step(input, now_ms));
     }
 
     fn register(&mut self, done: oneshot::Sender<Result<Reply>>) -> u64 {
@@ -180,7 +204,7 @@
             }
             if let Some((index, term)) = synced {
                 let now_ms = self.timer.now_ms();
-                next = self.replica.step(Input::Synced { index, term }, now_ms);
+                next = self.step(Input::Synced { index, term }, now_ms);
             }
             queue = next;
         }
@@ -195,7 +219,7 @@
         }
         let data = encode(&*self.machine.lock());
         let input = Input::Compact { index, data };
-        let effects = self.replica.step(input, self.timer.now_ms());
+        let effects = self.step(input, self.timer.now_ms());
         self.process_effects(effects)
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -114,7 +114,7 @@
 
     /// Returns the name of the leader's daemon, if it is known.
     pub fn leader_name(&self) -> Option<String> {
-        self.group_status().leader_name
+        self.group.leader_name()
     }
 
     /// Answers a call. A member that does not lead redirects the caller to the leader.
@@ -125,9 +125,8 @@
         if matches!(&call, Call::Batch(request) if **request == batch::call::Request::Standing) {
             return Ok(Answer::Batch(Box::new(dispatch::membership_answer(self))));
         }
-        let status = self.group_status();
-        if !status.is_leader {
-            return Ok(Answer::Redirect(status.leader_name));
+        if !self.group.is_leader() {
+            return Ok(Answer::Redirect(self.group.leader_name()));
         }
         match call {
             Call::Propose(command) => self.propose(command).await.map(Answer::Reply),
@@ -144,7 +143,7 @@
                 Ok(Answer::Done)
             }
             Call::Batch(request) => {
-                let answer = dispatch::handle_request(self, *request).await?;
+                let answer = dispatch::handle_request(self, from, *request).await?;
                 Ok(Answer::Batch(Box::new(answer)))
             }
             Call::AddMember { name } => {
@@ -231,7 +230,7 @@
             (version, document, leases.live(now_ms))
         };
         self.lease_renewed.notify_waiters();
-        let term = self.group_status().term;
+        let term = self.group.term();
         Ok(Lease { length_ms, term, version, document, entries })
     }
 
@@ -243,9 +242,9 @@
             let are_leases_known = self.old_leases_have_expired(now_ms);
             let in_force_ms = self.leases.lock().in_force_at(version, now_ms);
             if are_leases_known && in_force_ms.is_none() {
-                return self.group_status().is_leader;
+                return self.group.is_leader();
             }
-            if now_ms >= deadline_ms || !self.group_status().is_leader {
+            if now_ms >= deadline_ms || !self.group.is_leader() {
                 return false;
             }
             let wake_ms = in_force_ms.unwrap_or(now_ms + 50).clamp(now_ms + 1, deadline_ms);
@@ -259,7 +258,7 @@
     // A new leader has no record of which leases its predecessor granted, nor when the predecessor
     // noticed that it no longer leads. It waits until all of these leases have expired.
     fn old_leases_have_expired(&self, now_ms: u64) -> bool {
-        now_ms >= self.group_status().role_since_ms + lease::takeover_wait_ms(&self.settings.times)
+        now_ms >= self.group.role_since_ms() + lease::takeover_wait_ms(&self.settings.times)
     }
 
     async fn await_claim(&self, key: Key, within_ms: u64) -> Result<Option<claim::State>> {
--- a/src/control/scheduler.rs
+++ b/src/control/scheduler.rs
@@ -35,13 +35,13 @@
             () = control.round_requested.notified() => {}
             _ = round_ticks.tick() => is_periodic = true,
             _ = fragmentation_ticks.tick() => {
-                if control.group_status().is_leader {
+                if control.group.is_leader() {
                     record_fragmentation(&control);
                 }
                 continue;
             }
         }
-        if control.group_status().is_leader {
+        if control.group.is_leader() {
             round(&control, is_periodic).await;
         }
     }
@@ -114,7 +114,7 @@
         let grace_ms = machine.config.document.placement.checkpoint_grace_ms;
         orders_by_worker(&machine.jobs, workers, grace_ms)
     };
-    let term = control.group_status().term;
+    let term = control.group.term();
     for (worker, orders) in outgoing {
         let Some(entry) = control.fleet.lock().entry(&worker).map(str::to_string) else { continue };
         control.deliver(&entry, Notice::Orders { worker, orders, term });
@@ -124,7 +124,7 @@
 impl Control {
     // Whether this member has led for so long that every live worker must have reported to it.
     fn have_all_workers_reported(&self) -> bool {
-        let leader_for_ms = self.timer.now_ms().saturating_sub(self.group_status().role_since_ms);
+        let leader_for_ms = self.timer.now_ms().saturating_sub(self.group.role_since_ms());
         leader_for_ms > self.worker_timeout_ms()
     }
 
@@ -160,7 +160,7 @@
         worker_timeout_ms: control.worker_timeout_ms(),
         // A new leader waits for a whole lease chain before it considers an unresponsive worker
         // dead.
-        leader_for_ms: now_ms.saturating_sub(control.group_status().role_since_ms),
+        leader_for_ms: now_ms.saturating_sub(control.group.role_since_ms()),
     };
     let fleet = control.fleet.lock();
     let mut advance = Advance::default();
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -10,8 +10,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
-use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{self, Message};
 
 use super::frame::{Frame, MAX_FRAME_BYTES, decode, encode};
 use super::handshake::{Connection, Failure, Handshake, Result};
@@ -23,6 +23,8 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Limit for writing one frame.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Frames that are flushed together; more would delay the first ones.
+const MAX_FRAMES_PER_FLUSH: usize = 64;
 /// Time without an outgoing frame after which a ping is sent.
 const PING_INTERVAL: Duration = Duration::from_millis(400);
 /// Time without an incoming frame after which the link is closed, so that it is dialled again.
@@ -129,19 +131,36 @@
 
 async fn write_frames(mut sink: SplitSink<Socket, Message>, mut outgoing: mpsc::Receiver<Frame>) {
     loop {
-        let message = match timeout(PING_INTERVAL, outgoing.recv()).await {
+        let first = match timeout(PING_INTERVAL, outgoing.recv()).await {
             Ok(Some(frame)) => Message::binary(encode(&frame)),
             Ok(None) => return,
             Err(_) => Message::Ping(Bytes::new()),
         };
-        Metrics::global().count_mesh_bytes(message.len() as u64);
-        let result = timeout(WRITE_TIMEOUT, sink.send(message)).await;
+        let result = timeout(WRITE_TIMEOUT, write_queued(&mut sink, first, &mut outgoing)).await;
         if !matches!(result, Ok(Ok(()))) {
             return;
         }
     }
 }
 
+// Writes a message and the frames that are queued behind it, in one piece where they fit in the
+// socket's buffer.
+async fn write_queued(
+    sink: &mut SplitSink<Socket, Message>,
+    first: Message,
+    outgoing: &mut mpsc::Receiver<Frame>,
+) -> std::result::Result<(), tungstenite::Error> {
+    Metrics::global().count_mesh_bytes(first.len() as u64);
+    sink.feed(first).await?;
+    for _ in 1..MAX_FRAMES_PER_FLUSH {
+        let Ok(frame) = outgoing.try_recv() else { break };
+        let message = Message::binary(encode(&frame));
+        Metrics::global().count_mesh_bytes(message.len() as u64);
+        sink.feed(message).await?;
+    }
+    sink.flush().await
+}
+
 async fn read_frames<H: Handler>(
     mesh: &Mesh,
     peer: &super::Hello,
--- a/src/replica/read.rs
+++ b/src/replica/read.rs
@@ -29,12 +29,23 @@
     /// Whether this replica is the leader and holds a lease: a quorum's answers rule out that
     /// another leader has been elected by now.
     pub fn holds_lease(&self) -> bool {
-        let Role::Leader(leader) = &self.role else { return false };
+        self.lease_until_ms().is_some_and(|until_ms| self.now_ms < until_ms)
+    }
+
+    /// End of the leader's lease, in milliseconds; it may have passed. `None` if this replica does
+    /// not lead or holds no lease.
+    pub fn lease_until_ms(&self) -> Option<u64> {
+        let Role::Leader(leader) = &self.role else { return None };
         let quorum_answered_ms = self.quorum_answered_ms();
         let has_quorum_answer = quorum_answered_ms > 0 && quorum_answered_ms >= leader.elected_ms;
-        !leader.is_lease_disabled
-            && has_quorum_answer
-            && self.now_ms < quorum_answered_ms + self.timing.lease_ms()
+        let is_valid = has_quorum_answer && !leader.is_lease_disabled;
+        is_valid.then(|| quorum_answered_ms + self.timing.lease_ms())
+    }
+
+    /// Whether a state machine to which everything up to an index is applied reflects all changes
+    /// that earlier leaders have acknowledged.
+    pub fn covers_earlier_terms(&self, applied_index: u64) -> bool {
+        matches!(&self.role, Role::Leader(leader) if applied_index >= leader.term_start_index)
     }
 
     pub(super) fn answer_reads(&mut self) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -90,6 +90,8 @@
     pub upstream_connections: usize,
     /// Size of the replicated log at which a snapshot is taken.
     pub log_bytes: u64,
+    /// File descriptors that the process may have open.
+    pub descriptors: usize,
 }
 
 /// Intervals and timeouts of a daemon.
@@ -309,8 +311,15 @@
             queue_bytes: queue_bytes as usize,
             upstream_connections: upstream_connections as usize,
             log_bytes: reader.number("limits.log_bytes", 8 << 20, 1 << 10, 1 << 30),
+            descriptors: reader.number("limits.descriptors", 4_096, 256, 1 << 24) as usize,
         }
     }
+
+    /// Maximum concurrent connections of a listener. The other descriptors are left to links and
+    /// files.
+    pub fn listener_connections(&self) -> usize {
+        self.descriptors / 4 * 3
+    }
 }
 
 impl Times {
--- a/tests/fault_group.rs
+++ b/tests/fault_group.rs
@@ -13,7 +13,7 @@
 use eelgrassvalve::mesh::frame::{Hello, VERSION, encode};
 use eelgrassvalve::replica::member::{Id, Members};
 use eelgrassvalve::replica::store::Store;
-use eelgrassvalve::replica::{Body, Bytes, Entry, Message, Payload, Snapshot};
+use eelgrassvalve::replica::{Body, Bytes, Entry, Message, Payload, Snapshot, Timing};
 use eelgrassvalve::settings::Settings;
 use eelgrassvalve::state::{Command, Machine, worker};
 use eelgrassvalve::verdict::Verdict;
@@ -27,7 +27,7 @@
 /// Term in which the member leads, after that of the leader that handed over to it.
 const LEADER_TERM: u64 = 2;
 
-fn start_group(cluster: &Cluster) -> Group {
+fn start_group(cluster: &Cluster, timer: Timer) -> Group {
     cluster.write_settings(0, &|peer| peer.mesh());
     let settings = Settings::load(&cluster.settings_path(0)).expect("the settings are valid");
     let folder = cluster.data_folder(0);
@@ -51,11 +51,15 @@
         is_control: true,
     };
     let machine = Arc::new(Mutex::new(Rank::StateMachine, Machine::default()));
-    Group::start(&settings, Timer::system(), Mesh::new(hello), store, saved, machine)
+    Group::start(&settings, timer, Mesh::new(hello), store, saved, machine)
 }
 
 async fn start_leader(cluster: &Cluster) -> Group {
-    let group = start_group(cluster);
+    start_leader_with_timer(cluster, Timer::system()).await
+}
+
+async fn start_leader_with_timer(cluster: &Cluster, timer: Timer) -> Group {
+    let group = start_group(cluster, timer);
     // A member campaigns at once only when the leader hands over to it.
     let entries = Vec::new();
     let heartbeat = Body::Append { prev_index: 1, prev_term: 0, entries, commit: 1, sent_ms: 0 };
@@ -135,3 +139,53 @@
     wait_until("the leader to step down", || async { (!group.status().is_leader).then_some(()) })
         .await;
 }
+
+fn heartbeat_after_noop() -> Body {
+    let entries = Vec::new();
+    Body::Append { prev_index: 2, prev_term: LEADER_TERM, entries, commit: 2, sent_ms: 0 }
+}
+
+// The leader's noop is stored at a quorum, whose answer gives it a lease.
+async fn grant_lease(group: &Group, timer: &Timer) {
+    let answer = Body::Appended { index: 2, matches: true, sent_ms: timer.now_ms() };
+    group.receive(Id(2), Message { term: LEADER_TERM, body: answer });
+    wait_until("a read", || async { group.read().await.ok() }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_under_a_lease_does_not_wait_for_the_replica() {
+    let cluster = Cluster::new(1, 1);
+    let timer = Timer::system();
+    let group = start_leader_with_timer(&cluster, timer.clone()).await;
+    grant_lease(&group, &timer).await;
+    let read = std::pin::pin!(group.read());
+    let mut context = std::task::Context::from_waker(std::task::Waker::noop());
+    assert!(matches!(read.poll(&mut context), std::task::Poll::Ready(Ok(()))));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_after_the_lease_needs_a_quorum() {
+    let cluster = Cluster::new(1, 1);
+    let timer = Timer::system();
+    let group = start_leader_with_timer(&cluster, timer.clone()).await;
+    grant_lease(&group, &timer).await;
+    // No member answers any more, so that the lease runs out while this member still leads.
+    let lease_ms = Timing::default().election_ms;
+    timer.sleep(Duration::from_millis(lease_ms)).await;
+    assert!(group.is_leader());
+    group.read().await.expect_err("no quorum confirms the leader");
+}
+
+#[rstest]
+#[case::by_a_leader(Id(3), LEADER_TERM + 1, heartbeat_after_noop())]
+#[case::by_a_vote(Id(3), LEADER_TERM + 1, Body::Answer { pre: false, granted: false })]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deposed_leader_serves_no_read(#[case] from: Id, #[case] term: u64, #[case] body: Body) {
+    let cluster = Cluster::new(1, 1);
+    let timer = Timer::system();
+    let group = start_leader_with_timer(&cluster, timer.clone()).await;
+    grant_lease(&group, &timer).await;
+    group.receive(from, Message { term, body });
+    wait_until("the member to follow", || async { (!group.is_leader()).then_some(()) }).await;
+    group.read().await.expect_err("the member does not lead");
+}
