Large fleets: the heartbeat rate follows the leader's load

Cause: the leader asked for at most 1,500 heartbeats a second, so that each of 3,000 workers sent one in 2 s. A new leader also called the first workers of a large fleet back, only to send them away again.

Change: the rate begins at 3,000 and follows the lateness of a timer at the leader, between 1,500 and 6,000 a second (additive increase, multiplicative decrease). At most 200 workers return to the leader in a second.

The test of the interval drives the rate to its lowest, where its bounds hold as before; tests/fault_takeover.rs asks the same of a worker at that rate.

--- a/src/batch/balance.rs
+++ b/src/batch/balance.rs
@@ -11,6 +11,10 @@
 /// Fleet size in workers below which they return to the leader. The gap prevents workers from
 /// changing members at each change of a fleet near the limit.
 const MIN_FORWARDED_WORKERS: usize = 800;
+/// Workers that may return to the leader in one second. A new leader knows few workers at first, and
+/// must not call those of a large fleet back before it has heard of the others.
+const MAX_RETURNS_PER_S: u64 = 200;
+
 /// The leader's view of its fleet and of the members.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -22,16 +26,41 @@
     pub workers: usize,
 }
 
-/// Member to which a worker should send its next heartbeat, given the one that received the last.
-pub fn next_member<'a>(view: &View<'a>, worker: &str, receiver: &'a str) -> &'a str {
-    let is_direct = receiver == view.leader;
-    if is_direct && view.workers > MAX_DIRECT_WORKERS {
-        return preferred_follower(view, worker).unwrap_or(receiver);
+/// Assigns workers to members during one term of a leader.
+#[derive(Debug, Default)]
+pub struct Balancer {
+    // Second of the latest return to the leader, and the returns in it.
+    second: u64,
+    returns: u64,
+}
+
+impl Balancer {
+    /// Member to which a worker should send its next heartbeat, given the one that received the last.
+    pub fn next_member<'a>(
+        &mut self,
+        view: &View<'a>,
+        worker: &str,
+        receiver: &'a str,
+        now_ms: u64,
+    ) -> &'a str {
+        let is_direct = receiver == view.leader;
+        if is_direct && view.workers > MAX_DIRECT_WORKERS {
+            return preferred_follower(view, worker).unwrap_or(receiver);
+        }
+        if !is_direct && view.workers < MIN_FORWARDED_WORKERS && self.admit_return(now_ms) {
+            return view.leader;
+        }
+        receiver
     }
-    if !is_direct && view.workers < MIN_FORWARDED_WORKERS {
-        return view.leader;
+
+    fn admit_return(&mut self, now_ms: u64) -> bool {
+        let second = now_ms / 1_000;
+        if second != self.second {
+            (self.second, self.returns) = (second, 0);
+        }
+        self.returns += 1;
+        self.returns <= MAX_RETURNS_PER_S
     }
-    receiver
 }
 
 // Rendezvous hashing: the loss of a follower moves only its own workers.
--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -8,6 +8,7 @@
 
 use super::estimate::Estimates;
 use super::job::{Resources, TaskId};
+use super::pace::Rate;
 use super::table::{self, End, Table};
 use super::worker::{Exit, Heartbeat, Orders, Start};
 pub use session::Session;
@@ -32,9 +33,6 @@
 /// Maximum number of ended runs in one heartbeat: while there are more, a run that is not listed may
 /// have ended.
 const MAX_REPORTED_ENDS: usize = 500;
-/// Heartbeats per second above which a leader asks its workers to send fewer. At this rate 0.4 of a
-/// core is about two thirds busy with 1,000 workers.
-const MAX_HEARTBEATS_PER_S: u64 = 1_500;
 
 /// Time from the receipt of a heartbeat until a lease granted for it has certainly expired, in
 /// milliseconds.
@@ -295,16 +293,16 @@
         workers
     }
 
-    /// Minimum interval between heartbeats of a worker, in milliseconds, so that all workers
-    /// together send no more than the leader can answer. The end of a run is still reported at
-    /// once, and a worker that is unconfirmed, or has unconfirmed runs, is not slowed down.
-    pub fn min_heartbeat_interval_ms(&self, worker: &str) -> u64 {
+    /// Shortest interval between heartbeats of a worker, in milliseconds, at a rate for the whole fleet.
+    /// The end of a run is still reported at once, and a worker that is unconfirmed, or has
+    /// unconfirmed runs, is not slowed down.
+    pub fn min_heartbeat_interval_ms(&self, worker: &str, rate: Rate) -> u64 {
         let may_be_slowed =
             |session: &Session| session.is_confirmed() && !session.has_unconfirmed_runs;
         if self.session(worker).is_some_and(|session| !may_be_slowed(session)) {
             return 0;
         }
-        self.sessions.len() as u64 * 1_000 / MAX_HEARTBEATS_PER_S
+        rate.interval_ms(self.sessions.len())
     }
 
     /// Number of workers with a session.
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -9,6 +9,7 @@
 pub mod estimate;
 pub mod fleet;
 pub mod job;
+pub mod pace;
 pub mod plan;
 pub mod table;
 pub mod worker;
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod heartbeat;
+pub(super) mod lag;
 pub(super) mod membership;
 pub(super) mod round;
 
@@ -11,9 +12,11 @@
 use tokio::sync::{Notify, watch};
 
 use super::{COMMIT_TIMEOUT, Control};
+use crate::batch::balance::Balancer;
 use crate::batch::call::{Answer, Request};
 use crate::batch::estimate::{Estimates, Sample};
 use crate::batch::fleet::Fleet;
+use crate::batch::pace::Rate;
 use crate::batch::plan::{Planner, Times};
 use crate::batch::table::{Command as Batch, End, Round, Table as Jobs};
 use crate::batch::worker::Exit;
@@ -32,6 +35,7 @@
     // Number of completed rounds.
     rounds: watch::Sender<u64>,
     load_logged_at_ms: AtomicU64,
+    heartbeat_rate: Mutex<Rate>,
     times: Times,
     lease_ms: u64,
     tolerated_losses: usize,
@@ -41,6 +45,7 @@
 #[derive(Default)]
 struct Term {
     fleet: Fleet,
+    balancer: Balancer,
     planner: Planner,
     estimates: Estimates,
     // Ended runs that the next round commits.
@@ -54,6 +59,7 @@
             round_requested: Notify::new(),
             rounds: watch::Sender::new(0),
             load_logged_at_ms: AtomicU64::new(0),
+            heartbeat_rate: Mutex::new(Rank::HeartbeatRate, Rate::default()),
             times: settings.batch.times,
             lease_ms: settings.times.worker_lease_ms,
             tolerated_losses: settings.batch.tolerated_losses,
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::Notify;
 
-use super::{Control, Result};
+use super::{Control, Result, Term};
 use crate::batch::balance;
 use crate::batch::call::Answer;
 use crate::batch::table::End;
@@ -58,31 +58,33 @@
         orders = control.dispatch.term_state.lock().fleet.issue_orders(&worker, &machine.batch);
     }
     let latency_ms = control.timer.now_ms() - received_ms;
-    let (interval_ms, workers) = {
+    let rate = *control.dispatch.heartbeat_rate.lock();
+    let interval_ms = {
         let mut term_state = control.dispatch.term_state.lock();
         term_state.fleet.record_answer(&worker, sequence, control.timer.now_ms());
-        (term_state.fleet.min_heartbeat_interval_ms(&worker), term_state.fleet.size())
+        orders.next_member = next_member(control, &mut term_state, &worker, receiver);
+        term_state.fleet.min_heartbeat_interval_ms(&worker, rate)
     };
     let is_held = hold_ms.is_some();
     let next_ms =
         if is_held || !receipt.is_confirmed { NEXT_HEARTBEAT_MS } else { NEAR_END_HEARTBEAT_MS };
     orders.lease_ms = Some(control.dispatch.lease_ms);
     orders.next_ms = next_ms.max(interval_ms.saturating_sub(latency_ms));
-    orders.next_member = next_member(control, &worker, receiver, workers);
     log_orders(&worker, &orders);
     Metrics::global().record_heartbeat(latency_ms as f64 / 1_000.0);
     Ok(Answer::Orders(Box::new(orders)))
 }
 
 // Member to which the worker should send its next heartbeat.
-fn next_member(control: &Control, worker: &str, receiver: &str, workers: usize) -> String {
+fn next_member(control: &Control, term_state: &mut Term, worker: &str, receiver: &str) -> String {
     let status = control.group.borrow_status();
     let view = balance::View {
         leader: &control.settings.name,
         followers: &status.responsive_followers(),
-        workers,
+        workers: term_state.fleet.size(),
     };
-    balance::next_member(&view, worker, receiver).to_string()
+    let now_ms = control.timer.now_ms();
+    term_state.balancer.next_member(&view, worker, receiver, now_ms).to_string()
 }
 
 // Result of recording a heartbeat.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -91,6 +91,7 @@
         task::spawn_critical("scheduler", scheduler::run(control.clone()));
         if settings.batch.is_enabled {
             task::spawn_critical("rounds", dispatch::round::run(control.clone()));
+            task::spawn_critical("heartbeat rate", dispatch::lag::watch(control.clone()));
             let maintenance = dispatch::membership::maintain(control.clone());
             task::spawn_critical("membership", maintenance);
         }
--- a/src/kernel/lock.rs
+++ b/src/kernel/lock.rs
@@ -14,6 +14,8 @@
     StateMachine,
     /// Batch dispatch at the leader: workers, planner, and ended runs that are not yet committed.
     Dispatch,
+    /// Rate of heartbeats that the leader asks for.
+    HeartbeatRate,
     /// Entry leases granted by the leader.
     Leases,
     /// State of workers that the leader holds in memory only.
--- a/tests/batch_balance.rs
+++ b/tests/batch_balance.rs
@@ -2,12 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use eelgrassvalve::batch::balance::{View, next_member};
+use eelgrassvalve::batch::balance::{Balancer, View};
 use rstest::rstest;
 
 const LEADER: &str = "member-0";
 const FOLLOWERS: [&str; 4] = ["member-1", "member-2", "member-3", "member-4"];
 
+fn next_member<'a>(view: &View<'a>, worker: &str, receiver: &'a str) -> &'a str {
+    Balancer::default().next_member(view, worker, receiver, 0)
+}
+
 fn view(workers: usize) -> View<'static> {
     View { leader: LEADER, followers: &FOLLOWERS, workers }
 }
@@ -51,3 +55,31 @@
         }
     }
 }
+
+// A new leader of a large fleet hears of its workers one after the other. Were they called back while
+// it knows few of them, it would serve their connections at the worst moment and send them away again.
+#[test]
+fn a_new_leader_of_a_large_fleet_calls_few_workers_back() {
+    let mut balancer = Balancer::default();
+    let mut returned = 0;
+    for known in 0..3_000 {
+        let worker = format!("worker-{known}");
+        let member = balancer.next_member(&view(known), &worker, FOLLOWERS[0], known as u64 / 3);
+        returned += usize::from(member == LEADER);
+    }
+    assert!((1..=200).contains(&returned), "{returned}");
+}
+
+#[test]
+fn a_small_fleet_returns_within_two_seconds() {
+    let mut balancer = Balancer::default();
+    let mut forwarded = 370;
+    for tenth in 0..20 {
+        for number in 0..forwarded {
+            let worker = format!("worker-{number}");
+            let member = balancer.next_member(&view(370), &worker, FOLLOWERS[0], tenth * 100);
+            forwarded -= usize::from(member == LEADER);
+        }
+    }
+    assert_eq!(forwarded, 0);
+}
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -4,10 +4,11 @@
 
 use eelgrassvalve::batch::fleet::lease_bound_ms;
 use eelgrassvalve::batch::job::Id;
+use eelgrassvalve::batch::pace::Rate;
 use eelgrassvalve::batch::table::Command;
 use eelgrassvalve::batch::worker::{End, Exit, Heartbeat};
 use rstest::rstest;
-use support::batch::{Harness, LEASE_MS, step, task_id};
+use support::batch::{Harness, LEASE_MS, overloaded_rate, step, task_id};
 
 /// A job whose only task runs on `w0`, as the last heartbeat of `w0` shows.
 fn with_running_task() -> Harness {
@@ -375,8 +376,8 @@
     assert_eq!(session.next_end_ms(&harness.table, harness.now_ms), expected_ms);
 }
 
-/// The interval limits the rate of heartbeats to what a leader can answer, however many workers
-/// there are.
+/// The interval limits the rate of heartbeats to what an overloaded leader can answer, however many
+/// workers there are.
 #[rstest]
 #[case::small(48, 0, 100)]
 #[case::medium(350, 0, 300)]
@@ -387,7 +388,26 @@
     #[case] max_ms: u64,
 ) {
     let harness = Harness::with_workers(workers);
-    let interval_ms = harness.fleet.min_heartbeat_interval_ms("w0");
+    let interval_ms = harness.fleet.min_heartbeat_interval_ms("w0", overloaded_rate());
     assert!((min_ms..max_ms).contains(&interval_ms), "{interval_ms}");
     assert!(interval_ms * 3 < LEASE_MS * 2, "two of three heartbeats may be lost within a lease");
 }
+
+/// Gangs in a large idle fleet: orders reach a worker with its next heartbeat, so that a leader with
+/// capacity left asks for more of them, and for fewer once its timers are late.
+#[test]
+fn the_heartbeat_rate_follows_the_load_of_the_leader() {
+    let mut rate = overloaded_rate();
+    let lowest = rate.per_s();
+    for _ in 0..100 {
+        rate.observe(0);
+    }
+    assert!(rate.per_s() >= 3 * lowest, "{rate:?}");
+    assert!(rate.interval_ms(3_000) < 700, "{rate:?}");
+    let highest = rate.per_s();
+    rate.observe(200);
+    assert!(rate.per_s() <= highest * 3 / 4, "{rate:?}");
+    let reduced = rate.per_s();
+    rate.observe(30);
+    assert_eq!(rate.per_s(), reduced, "neither idle nor overloaded");
+}
--- a/tests/fault_takeover.rs
+++ b/tests/fault_takeover.rs
@@ -6,7 +6,7 @@
 use eelgrassvalve::batch::table::{Command, Round};
 use eelgrassvalve::batch::worker::{End, Exit};
 use rstest::rstest;
-use support::batch::{Harness, gang, step, task_id};
+use support::batch::{Harness, gang, overloaded_rate, step, task_id};
 use support::takeover::Simulation;
 
 /// A run that the earlier leader started and then stopped, as a new leader finds it.
@@ -78,7 +78,7 @@
         heartbeat.clock_ms = gap_ms.and(heartbeat.clock_ms);
     });
     assert_eq!(receipt.ends.len(), ended);
-    let interval_ms = harness.fleet.min_heartbeat_interval_ms("w0");
+    let interval_ms = harness.fleet.min_heartbeat_interval_ms("w0", overloaded_rate());
     assert_eq!(interval_ms, 0, "a worker with an unconfirmed run sends its heartbeats at once");
 }
 
--- a/tests/support/batch.rs
+++ b/tests/support/batch.rs
@@ -4,6 +4,7 @@
 use eelgrassvalve::batch::estimate::{Estimates, Sample};
 use eelgrassvalve::batch::fleet::{Fleet, Receipt};
 use eelgrassvalve::batch::job::{Id, Resources, Spec, Step, TaskId};
+use eelgrassvalve::batch::pace::Rate;
 use eelgrassvalve::batch::plan::{Plan, Planner, Times, View};
 use eelgrassvalve::batch::table::{Command, End, Round, Start, Submission, Table};
 use eelgrassvalve::batch::worker::{self, Exit, Heartbeat};
@@ -243,3 +244,12 @@
         self.table.active_run(&task).map(|run| run.worker.clone())
     }
 }
+
+/// The rate of heartbeats of a leader that has been overloaded for a while.
+pub fn overloaded_rate() -> Rate {
+    let mut rate = Rate::default();
+    for _ in 0..100 {
+        rate.observe(1_000);
+    }
+    rate
+}
