Fleet: a gang broken by a silent worker need not wait for the lease of that worker

Change: broken means that another task of the gang has ended. A task that was stopped or failed elsewhere may be the cause itself, and two silent workers prove nothing: then the lease decides as before. The table keeps the number of a task's last broken run, 0 in stored data of older members.

Result: two cases of tests/batch_fleet.rs fail without it.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -185,18 +185,26 @@
         self.sessions.get(worker)
     }
 
-    /// Returns the ends of runs whose workers' leases have expired, or that left. The leases of
-    /// workers that have sent this leader no heartbeat expire at `default_lease_until_ms`.
+    /// Returns the ends of runs whose workers' leases have expired, or that left, and of gangs' runs on
+    /// silent workers that must have ended there. The leases of workers that have sent this leader no
+    /// heartbeat expire at `default_lease_until_ms`.
     pub fn lost_runs(&self, table: &Table, default_lease_until_ms: u64, now_ms: u64) -> Vec<End> {
         let mut ends = Vec::new();
         for worker in table.occupied_workers() {
             let session = self.sessions.get(worker);
             let lease_until_ms =
                 session.map_or(default_lease_until_ms, |known| known.lease_until_ms);
-            if now_ms < self.leaving.get(worker).copied().unwrap_or(lease_until_ms) {
+            let is_lost = now_ms >= self.leaving.get(worker).copied().unwrap_or(lease_until_ms);
+            // A worker that still sends heartbeats will report how the run ended.
+            let is_silent = session
+                .is_some_and(|known| now_ms >= known.last_heartbeat_ms + MAX_SILENCE_FOR_WORK_MS);
+            if !is_lost && !is_silent {
                 continue;
             }
             for (task, run) in table.runs_on(worker) {
+                if !is_lost && !table.has_ended_unreported(task, run) {
+                    continue;
+                }
                 let checkpoint = session.map_or("", |known| known.checkpoint(task, run.number));
                 ends.push(lapsed(*task, run.number, checkpoint));
             }
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -247,6 +247,9 @@
     pub failed_on: String,
     /// When that run failed, in milliseconds since 1970.
     pub failed_ms: u64,
+    /// Number of the last run that ended because another task of the gang had ended; 0 if none has.
+    #[serde(default)]
+    pub broken_run: u32,
 }
 
 /// Progress of one step in one occurrence.
@@ -270,6 +273,21 @@
         tasks.filter(|(_, task)| task.state == State::Waiting).map(|(index, _)| index as u32)
     }
 
+    /// Whether a gang's run has ended on a worker that did not report it: all its tasks elsewhere ended
+    /// because another one had, so that the first to end was on this worker, and the others there
+    /// ended with it.
+    pub fn has_ended_unreported(&self, run: u32, worker: &str) -> bool {
+        let mut broken = 0;
+        for task in &self.tasks {
+            match &task.state {
+                State::Active(active) if active.number == run && active.worker == worker => {}
+                State::Waiting if task.broken_run == run => broken += 1,
+                _ => return false,
+            }
+        }
+        broken > 0
+    }
+
     /// Whether every task is done.
     pub fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -145,6 +145,16 @@
         self.live.get(&task.job)?.active_run(task)
     }
 
+    /// Whether an active run of a gang must have ended on its worker, though that has not reported it.
+    pub fn has_ended_unreported(&self, task: &TaskId, run: &Run) -> bool {
+        let Some(job) = self.live.get(&task.job) else { return false };
+        let Some(occurrence) = job.occurrences.get(&task.occurrence) else { return false };
+        let at = task.step as usize;
+        let is_gang = job.spec.steps.get(at).is_some_and(|step| step.is_gang);
+        let progress = occurrence.steps.get(at).filter(|_| is_gang);
+        progress.is_some_and(|progress| progress.has_ended_unreported(run.number, &run.worker))
+    }
+
     /// Active runs on a worker.
     pub fn runs_on(&self, worker: &str) -> impl Iterator<Item = (&TaskId, &Run)> {
         let placed = self.placed.get(worker).into_iter().flatten();
@@ -375,6 +385,9 @@
         if !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
+        if end.how == Exit::Broken {
+            task.broken_run = end.run;
+        }
         if end.how == Exit::Failed {
             task.failures += 1;
             task.failed_on = worker;
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -8,7 +8,7 @@
 use eelgrassvalve::batch::table::Command;
 use eelgrassvalve::batch::worker::{End, Exit, Heartbeat};
 use rstest::rstest;
-use support::batch::{Harness, LEASE_MS, overloaded_rate, step, task_id};
+use support::batch::{Harness, LEASE_MS, gang, overloaded_rate, step, task_id};
 
 /// A job whose only task runs on `w0`, as the last heartbeat of `w0` shows.
 fn with_running_task() -> Harness {
@@ -411,3 +411,73 @@
     rate.observe(30);
     assert_eq!(rate.per_s(), reduced, "neither idle nor overloaded");
 }
+
+/// Workers of a gang of three, of which the last falls silent.
+const SPREAD: [&str; 3] = ["w0", "w1", "w2"];
+/// The last two tasks share a worker.
+const SHARED: [&str; 3] = ["w0", "w2", "w2"];
+/// Longer than a worker that exists needs to report an end, shorter than a lease.
+const SILENCE_MS: u64 = 3_000;
+
+/// A gang whose tasks run on these workers, of which `w2` sends no more heartbeats.
+fn with_silent_member(workers: [&str; 3], w0_exit: Exit, w1_exit: Exit) -> Harness {
+    let mut harness = Harness::with_workers(3);
+    harness.submit(1, "small", vec![gang(3)]);
+    for (index, worker) in (0..).zip(workers) {
+        harness.start(task_id(1, 0, index), 1, worker);
+    }
+    for worker in ["w0", "w1", "w2"] {
+        harness.receive_heartbeat(worker, |_| {});
+    }
+    for (index, (worker, exit)) in (0..).zip([("w0", w0_exit), ("w1", w1_exit)]) {
+        if workers[index as usize] == worker {
+            harness.end(task_id(1, 0, index), 1, exit);
+        }
+    }
+    harness.now_ms += SILENCE_MS;
+    harness
+}
+
+/// A worker crashes with a task of a gang: the others report at once that their runs are broken. Their
+/// word that another task has ended leaves only those of the silent worker, so that the gang need not
+/// wait for the end of that worker's lease.
+#[rstest]
+#[case::one_task_there(SPREAD, Exit::Broken, Exit::Broken, 1)]
+#[case::two_tasks_there(SHARED, Exit::Broken, Exit::Broken, 2)]
+#[case::another_task_was_stopped(SPREAD, Exit::Stopped, Exit::Broken, 0)]
+#[case::another_task_failed(SPREAD, Exit::Broken, Exit::Failed, 0)]
+fn a_gang_broken_by_a_silent_worker_has_ended_there(
+    #[case] workers: [&str; 3],
+    #[case] w0_exit: Exit,
+    #[case] w1_exit: Exit,
+    #[case] ended: usize,
+) {
+    let harness = with_silent_member(workers, w0_exit, w1_exit);
+    let ends = harness.fleet.lost_runs(&harness.table, 0, harness.now_ms);
+    assert_eq!(ends.len(), ended, "{ends:?}");
+    assert!(ends.iter().all(|end| end.how == Exit::Lapsed));
+}
+
+#[test]
+fn a_broken_gang_waits_for_a_worker_that_still_sends_heartbeats() {
+    let mut harness = with_silent_member(SPREAD, Exit::Broken, Exit::Broken);
+    harness.receive_heartbeat("w2", |_| {});
+    assert!(harness.fleet.lost_runs(&harness.table, 0, harness.now_ms).is_empty());
+}
+
+#[test]
+fn a_broken_gang_with_two_silent_workers_waits_for_their_leases() {
+    let mut harness = Harness::with_workers(3);
+    harness.submit(1, "small", vec![gang(3)]);
+    for (index, worker) in (0..).zip(SPREAD) {
+        harness.start(task_id(1, 0, index), 1, worker);
+    }
+    for worker in SPREAD {
+        harness.receive_heartbeat(worker, |_| {});
+    }
+    harness.end(task_id(1, 0, 0), 1, Exit::Broken);
+    harness.now_ms += SILENCE_MS;
+    assert!(harness.fleet.lost_runs(&harness.table, 0, harness.now_ms).is_empty());
+    harness.now_ms += lease_bound_ms(LEASE_MS);
+    assert_eq!(harness.fleet.lost_runs(&harness.table, 0, harness.now_ms).len(), 2);
+}
