Batch: the failure of a run that was declared lost counts as an attempt

Cause: a run whose worker is silent for longer than its lease is declared lost and started elsewhere. If the worker is heard again and reports that the run had failed, that end was acknowledged and forgotten, so that a task could be started after as many failed runs as its queue allows.

Change: a task keeps the number of its last run that was declared lost (0 in stored data of older members). A late report of its failure is committed like other ends, before it is acknowledged, and counts once; the job fails if its attempts are used up.

Result: a_failure_reported_after_its_run_was_declared_lost_counts failed before and passes.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -334,7 +334,7 @@
         let heartbeat = &session.heartbeat;
         for end in &heartbeat.ended {
             // Ends are acknowledged in the order of the list, once the table has recorded them.
-            if table.is_run_active(&end.task, end.run) {
+            if table.accepts_end(&end.task, end.run, end.how) {
                 break;
             }
             orders.acknowledged = end.number;
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -177,7 +177,9 @@
                     && active.worker == heartbeat.worker
                     && active.incarnation == heartbeat.incarnation
             });
-            if active.is_none() {
+            let is_late = !table.is_run_active(&end.task, end.run)
+                && table.accepts_end(&end.task, end.run, end.how);
+            if active.is_none() && !is_late {
                 continue;
             }
             let checkpoint = end.checkpoint.clone();
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -250,6 +250,10 @@
     /// Number of the last run that ended because another task of the gang had ended; 0 if none has.
     #[serde(default)]
     pub broken_run: u32,
+    /// Number of the last run that was declared lost with its worker; 0 if there is none. The worker
+    /// may still report that the run had failed.
+    #[serde(default)]
+    pub lapsed_run: u32,
 }
 
 /// Progress of one step in one occurrence.
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -140,6 +140,17 @@
         self.active_run(task).is_some_and(|active| active.number == run)
     }
 
+    /// Whether the end of a run changes the table: that of an active run, or the failure of one that was
+    /// declared lost, which counts as an attempt.
+    pub fn accepts_end(&self, task: &TaskId, run: u32, how: Exit) -> bool {
+        let is_late_failure = || {
+            let job = self.live.get(&task.job);
+            how == Exit::Failed
+                && job.and_then(|job| job.task(task)).is_some_and(|known| known.lapsed_run == run)
+        };
+        self.is_run_active(task, run) || is_late_failure()
+    }
+
     /// The active run of a task.
     pub fn active_run(&self, task: &TaskId) -> Option<&Run> {
         self.live.get(&task.job)?.active_run(task)
@@ -240,6 +251,7 @@
 
     fn end_run(&mut self, end: &End, now_ms: u64) {
         if !self.is_run_active(&end.task, end.run) {
+            self.record_late_failure(end, now_ms);
             return;
         }
         let Some(job) = self.live.get_mut(&end.task.job) else { return };
@@ -279,6 +291,36 @@
         }
     }
 
+    // Counts the failure of a run that was declared lost before its worker could report it.
+    fn record_late_failure(&mut self, end: &End, now_ms: u64) {
+        if !self.accepts_end(&end.task, end.run, end.how) {
+            return;
+        }
+        let Some(job) = self.live.get_mut(&end.task.job) else { return };
+        let attempts = job.terms.attempts;
+        let step = &job.spec.steps[end.task.step as usize];
+        let (is_gang, is_lasting) = (step.is_gang, step.is_lasting);
+        let Some(occurrence) = job.occurrences.get_mut(&end.task.occurrence) else { return };
+        let progress = &mut occurrence.steps[end.task.step as usize];
+        let failures = if is_gang {
+            // The run of a gang fails once, however many of its tasks report it.
+            for task in &mut progress.tasks {
+                task.lapsed_run = if task.lapsed_run == end.run { 0 } else { task.lapsed_run };
+            }
+            progress.failures += u32::from(progress.failed_run != end.run);
+            progress.failures
+        } else {
+            let task = &mut progress.tasks[end.task.index as usize];
+            task.lapsed_run = 0;
+            task.failures += 1;
+            task.failures
+        };
+        let is_done = progress.tasks[end.task.index as usize].state == State::Done;
+        if !is_done && !is_lasting && failures >= attempts {
+            self.finish_job(end.task.job, Outcome::Failed, now_ms);
+        }
+    }
+
     fn finish_job(&mut self, id: Id, outcome: Outcome, now_ms: u64) {
         let Some(mut job) = self.live.remove(&id) else { return };
         for (number, occurrence) in &job.occurrences {
@@ -385,8 +427,10 @@
         if !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
-        if end.how == Exit::Broken {
-            task.broken_run = end.run;
+        match end.how {
+            Exit::Broken => task.broken_run = end.run,
+            Exit::Lapsed => task.lapsed_run = end.run,
+            _ => {}
         }
         if end.how == Exit::Failed {
             task.failures += 1;
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -150,7 +150,7 @@
     control.dispatch.round_requested.notify_one();
     let are_ends_committed = || {
         let machine = control.machine.lock();
-        !ends.iter().any(|end| machine.batch.is_run_active(&end.task, end.run))
+        !ends.iter().any(|end| machine.batch.accepts_end(&end.task, end.run, end.how))
     };
     let committed = async {
         // A round that was already running may have missed the ends; the next one includes them.
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -121,7 +121,7 @@
     let takeover_until_ms = role_since_ms + lease_bound_ms(control.dispatch.lease_ms);
     ends.extend(term_state.fleet.lost_runs(&machine.batch, takeover_until_ms, now_ms));
     term_state.fleet.remove_departed(now_ms);
-    ends.retain(|end| machine.batch.is_run_active(&end.task, end.run));
+    ends.retain(|end| machine.batch.accepts_end(&end.task, end.run, end.how));
     let wall_ms = wall_ms();
     let due_ms = if machine.batch.has_due_occurrence(wall_ms) { wall_ms } else { 0 };
     (Round { ends, due_ms, ..Round::default() }, term_state.fleet.term())
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use eelgrassvalve::batch::fleet::lease_bound_ms;
+use eelgrassvalve::batch::fleet::{Receipt, lease_bound_ms};
 use eelgrassvalve::batch::job::Id;
 use eelgrassvalve::batch::table::Command;
 use eelgrassvalve::batch::worker::{End, Exit, Heartbeat};
@@ -480,3 +480,54 @@
     harness.now_ms += lease_bound_ms(LEASE_MS);
     assert_eq!(harness.fleet.lost_runs(&harness.table, 0, harness.now_ms).len(), 2);
 }
+
+/// Reports in a heartbeat of `w0` that run 1 of a task failed.
+fn report_failure(harness: &mut Harness, number: u64, index: u32) -> Receipt {
+    let end = End {
+        number,
+        task: task_id(1, 0, index),
+        run: 1,
+        how: Exit::Failed,
+        checkpoint: String::new(),
+    };
+    harness.receive_heartbeat("w0", |heartbeat| heartbeat.ended = vec![end])
+}
+
+/// A worker that was cut off is heard again, after its runs were declared lost and started elsewhere:
+/// the failure of such a run is an attempt of its task, and is committed before it is acknowledged.
+#[test]
+fn a_failure_reported_after_its_run_was_declared_lost_counts() {
+    let mut harness = Harness::with_workers(2);
+    harness.submit(1, "large", vec![step(1)]);
+    harness.start(task_id(1, 0, 0), 1, "w0");
+    harness.end(task_id(1, 0, 0), 1, Exit::Lapsed);
+    harness.start(task_id(1, 0, 0), 2, "w1");
+    let receipt = report_failure(&mut harness, 1, 0);
+    assert_eq!(harness.fleet.issue_orders("w0", &harness.table).acknowledged, 0);
+    harness.commit_ends(receipt);
+    assert_eq!(harness.fleet.issue_orders("w0", &harness.table).acknowledged, 1);
+    let repeated = report_failure(&mut harness, 1, 0);
+    assert!(repeated.ends.is_empty(), "it counts once: {repeated:?}");
+    harness.end(task_id(1, 0, 0), 2, Exit::Failed);
+    assert_eq!(harness.phase(1), "failed", "both of two attempts have failed");
+}
+
+#[test]
+fn a_late_failure_of_a_gang_counts_once() {
+    let mut harness = Harness::with_workers(2);
+    harness.submit(1, "large", vec![gang(2)]);
+    for index in [0, 1] {
+        harness.start(task_id(1, 0, index), 1, "w0");
+    }
+    for index in [0, 1] {
+        harness.end(task_id(1, 0, index), 1, Exit::Lapsed);
+    }
+    for index in [0, 1] {
+        harness.start(task_id(1, 0, index), 2, "w1");
+    }
+    for index in [0, 1] {
+        let receipt = report_failure(&mut harness, u64::from(index) + 1, index);
+        harness.commit_ends(receipt);
+    }
+    assert_eq!(harness.phase(1), "running", "one of two attempts has failed");
+}
