Tests: gangs and workers that are cut off in the schedules of changes of leader

Cause: ends of gangs by silence and late failures were tested by cases only.

Change: the simulation has a gang of three whose tasks fail, are stopped and break one another, and workers that are cut off for up to 8 s and run on; a break reaches a worker that is cut off by chance only. An end that the worker had listed before its lease ran out isn't counted as noted, as the platform's rules say: the leader starts such a task again.

--- a/tests/support/takeover.rs
+++ b/tests/support/takeover.rs
@@ -1,16 +1,16 @@
-//! Seeded simulation of workers and leaders: heartbeats and answers are delayed, reordered and lost
-//! while leaders change, and the simulated workers check that no task runs twice.
+//! Seeded simulation of workers and leaders: heartbeats and answers are delayed, reordered and lost,
+//! and workers are cut off, while leaders change. The simulated workers check that no task runs twice.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use eelgrassvalve::batch::fleet::{Fleet, lease_bound_ms};
-use eelgrassvalve::batch::job::{State, TaskId};
+use eelgrassvalve::batch::job::{Id, State, Task, TaskId};
 use eelgrassvalve::batch::table::{Command, End, Round, Start};
 use eelgrassvalve::batch::worker::{self, Exit, Heartbeat, Orders};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::batch::{Harness, LEASE_MS, WORKER_CAPACITY, step, task_id};
+use super::batch::{Harness, LEASE_MS, WORKER_CAPACITY, gang, step, task_id};
 
 /// Step of the simulated clock, in milliseconds.
 const STEP_MS: u64 = 10;
@@ -19,7 +19,11 @@
 /// Length of a simulation, in milliseconds.
 const LENGTH_MS: u64 = 15_000;
 const WORKERS: usize = 3;
+/// Tasks of the first job, which run on their own.
 const TASKS: u32 = 6;
+/// Tasks of the second job, a gang.
+const MEMBERS: u32 = 3;
+const GANG_JOB: u64 = 2;
 
 /// A worker, which follows the protocol of heartbeats and leases.
 #[derive(Default)]
@@ -28,12 +32,17 @@
     // Sequence number and time of the outstanding heartbeat.
     outstanding: Option<(u64, u64)>,
     next_ms: u64,
+    // While a worker is cut off, it runs on, and its packets are lost.
+    cut_until_ms: u64,
     lease_until_ms: u64,
     token: u64,
     // End time of each run.
     running: BTreeMap<TaskId, (u32, u64)>,
     ended: Vec<worker::End>,
     ends: u64,
+    // Number of the last end before the lease ran out: the leader may have started those tasks again
+    // before it heard of them.
+    lapsed_through: u64,
     // Highest run of each task that was stopped or ended here.
     rejected: BTreeMap<TaskId, u32>,
 }
@@ -61,6 +70,7 @@
         let mut harness = Harness::with_workers(0);
         harness.fleet = Fleet::of_term(1);
         harness.submit(1, "small", vec![step(TASKS)]);
+        harness.submit(GANG_JOB, "small", vec![gang(MEMBERS)]);
         let mut simulation = Self {
             random: SmallRng::seed_from_u64(seed),
             since_ms: harness.now_ms,
@@ -84,6 +94,13 @@
             self.change_leader();
         }
         for at in 0..WORKERS {
+            if self.chance(2) {
+                let cut_ms = self.random.random_range(500..8_000);
+                self.hosts[at].cut_until_ms = self.harness.now_ms + cut_ms;
+            }
+            if self.chance(3) {
+                self.fail_member(at);
+            }
             self.advance_host(at);
         }
         let now_ms = self.harness.now_ms;
@@ -91,6 +108,9 @@
             std::mem::take(&mut self.packets).into_iter().partition(|(at_ms, _)| *at_ms <= now_ms);
         self.packets = later;
         for (_, packet) in due {
+            if self.is_cut(packet.worker()) {
+                continue;
+            }
             match packet {
                 Packet::Beat(heartbeat) => self.receive(*heartbeat),
                 Packet::Answer { worker, sequence, orders } => self.obey(worker, sequence, &orders),
@@ -108,8 +128,44 @@
         self.ends.clear();
     }
 
+    fn is_cut(&self, at: usize) -> bool {
+        self.harness.now_ms < self.hosts[at].cut_until_ms
+    }
+
+    // A task of the gang on this worker fails, if there is one.
+    fn fail_member(&mut self, at: usize) {
+        let tasks = self.hosts[at].running.keys();
+        let member = tasks.copied().find(|task| task.job == Id(GANG_JOB));
+        if let Some(member) = member {
+            self.end(at, &member, Exit::Failed);
+        }
+    }
+
+    // Ends a run. The other tasks of its gang break with it: those on the same worker always, others
+    // if neither worker is cut off, or by chance.
+    fn end(&mut self, at: usize, task: &TaskId, how: Exit) {
+        let Some((run, _)) = self.hosts[at].running.get(task).copied() else { return };
+        self.hosts[at].end(task, how);
+        if task.job != Id(GANG_JOB) {
+            return;
+        }
+        for other in 0..WORKERS {
+            let is_reached =
+                other == at || !(self.is_cut(at) || self.is_cut(other)) || self.chance(500);
+            let members = self.hosts[other].running.iter();
+            let of_run = members.filter(|(task, (number, _))| {
+                is_reached && task.job == Id(GANG_JOB) && *number == run
+            });
+            let broken: Vec<TaskId> = of_run.map(|(task, _)| *task).collect();
+            broken.iter().for_each(|task| self.hosts[other].end(task, Exit::Broken));
+        }
+    }
+
     // Delivers a packet after a delay, or never. Some arrive seconds late.
     fn send(&mut self, packet: Packet) {
+        if self.is_cut(packet.worker()) {
+            return;
+        }
         let delay_ms = match self.random.random_range(0..100u32) {
             0..5 => return,
             5..20 => self.random.random_range(0..5_000),
@@ -120,14 +176,16 @@
 
     fn advance_host(&mut self, at: usize) {
         let now_ms = self.harness.now_ms;
-        let host = &mut self.hosts[at];
-        if now_ms >= host.lease_until_ms {
-            let lapsed: Vec<TaskId> = host.running.keys().copied().collect();
-            lapsed.iter().for_each(|task| host.end(task, Exit::Lapsed));
+        if now_ms >= self.hosts[at].lease_until_ms {
+            self.hosts[at].lapsed_through = self.hosts[at].ends;
+            let lapsed: Vec<TaskId> = self.hosts[at].running.keys().copied().collect();
+            lapsed.iter().for_each(|task| self.end(at, task, Exit::Lapsed));
         }
-        let done = host.running.iter().filter(|(_, (_, end_ms))| *end_ms <= now_ms);
+        let runs = self.hosts[at].running.iter();
+        let done = runs.filter(|(_, (_, end_ms))| *end_ms <= now_ms);
         let done: Vec<TaskId> = done.map(|(task, _)| *task).collect();
-        done.iter().for_each(|task| host.end(task, Exit::Done));
+        done.iter().for_each(|task| self.end(at, task, Exit::Done));
+        let host = &mut self.hosts[at];
         if host.outstanding.is_some_and(|(_, sent_ms)| now_ms < sent_ms + CALL_TIMEOUT_MS)
             || (host.outstanding.is_none() && now_ms < host.next_ms)
         {
@@ -174,7 +232,7 @@
         self.harness.fleet.record_answer(&name, sequence, now_ms);
         orders.lease_ms = Some(LEASE_MS);
         orders.next_ms = self.random.random_range(20..300);
-        let worker = name[1..].parse().expect("a worker name is a letter and a number");
+        let worker = worker_index(&name);
         self.send(Packet::Answer { worker, sequence, orders });
     }
 
@@ -195,7 +253,7 @@
             let task = task_id(1, 0, index);
             let found = self.harness.table.live.get(&task.job).and_then(|job| job.task(&task));
             let Some((state, runs)) = found.map(|found| (found.state.clone(), found.runs)) else {
-                return;
+                break;
             };
             match state {
                 State::Active(run) if self.chance(50) => round.stops.push((task, run.number)),
@@ -209,10 +267,33 @@
                 _ => {}
             }
         }
+        self.plan_gang(&mut round);
         self.harness.fleet.record_starts(&round.starts);
         self.harness.apply(Command::Round(round));
     }
 
+    // Starts the gang as a whole once all its tasks wait, and stops it by chance.
+    fn plan_gang(&mut self, round: &mut Round) {
+        let Some(job) = self.harness.table.live.get(&Id(GANG_JOB)) else { return };
+        let tasks: Vec<TaskId> = (0..MEMBERS).map(|index| task_id(GANG_JOB, 0, index)).collect();
+        let known: Vec<Task> = tasks.iter().filter_map(|task| job.task(task).cloned()).collect();
+        let last_run = known.iter().map(|task| task.runs).max().unwrap_or(0);
+        if known.iter().any(|task| task.state != State::Waiting) {
+            if self.chance(30) {
+                round.stops.extend(tasks.iter().map(|task| (*task, last_run)));
+            }
+            return;
+        }
+        let workers = tasks.iter().map(|_| format!("w{}", self.random.random_range(0..WORKERS)));
+        let workers: Vec<String> = workers.collect();
+        if workers.iter().any(|worker| self.harness.fleet.session(worker).is_none()) {
+            return;
+        }
+        for (task, worker) in tasks.into_iter().zip(workers) {
+            round.starts.push(Start { task, run: last_run + 1, worker, incarnation: 1 });
+        }
+    }
+
     // A worker receives an answer; one that comes too late is dropped.
     fn obey(&mut self, at: usize, sequence: u64, orders: &Orders) {
         let now_ms = self.harness.now_ms;
@@ -227,7 +308,9 @@
         }
         self.hosts[at].token = orders.term;
         for end in &self.hosts[at].ended {
-            if end.number <= orders.acknowledged && end.how == Exit::Done {
+            let is_noted =
+                end.number <= orders.acknowledged && end.number > self.hosts[at].lapsed_through;
+            if is_noted && end.how == Exit::Done {
                 self.acknowledged.insert(end.task);
             }
         }
@@ -235,10 +318,10 @@
         host.ended.retain(|end| end.number > orders.acknowledged);
         host.lease_until_ms = host.lease_until_ms.max(sent_ms + LEASE_MS);
         for (task, run) in &orders.stop {
-            if host.running.get(task).is_some_and(|(number, _)| number == run) {
-                host.end(task, Exit::Stopped);
+            if self.hosts[at].running.get(task).is_some_and(|(number, _)| number == run) {
+                self.end(at, task, Exit::Stopped);
             }
-            let highest = host.rejected.entry(*task).or_default();
+            let highest = self.hosts[at].rejected.entry(*task).or_default();
             *highest = (*highest).max(*run);
         }
         for start in &orders.start {
@@ -248,7 +331,9 @@
                 continue;
             }
             self.check_start(at, &start.task);
-            let end_ms = now_ms + self.random.random_range(500..4_000);
+            let run_ms = self.random.random_range(500..4_000);
+            // The gang goes on until it fails, is stopped or loses a task.
+            let end_ms = if start.task.job == Id(GANG_JOB) { u64::MAX } else { now_ms + run_ms };
             self.hosts[at].running.insert(start.task, (start.run, end_ms));
         }
     }
@@ -273,6 +358,20 @@
     }
 }
 
+impl Packet {
+    // Worker that sends or receives the packet.
+    fn worker(&self) -> usize {
+        match self {
+            Self::Beat(heartbeat) => worker_index(&heartbeat.worker),
+            Self::Answer { worker, .. } => *worker,
+        }
+    }
+}
+
+fn worker_index(name: &str) -> usize {
+    name[1..].parse().expect("a worker name is a letter and a number")
+}
+
 impl Host {
     fn end(&mut self, task: &TaskId, how: Exit) {
         let Some((run, _)) = self.running.remove(task) else { return };
