--- a/tests/batch_table.rs
+++ b/tests/batch_table.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use ciborium::Value;
 use eelgrassvalve::batch::document::{Customer, Document, Queue};
 use eelgrassvalve::batch::job::{Id, Schedule, Spec, Step, TaskId};
 use eelgrassvalve::batch::table::{Command, End, Round, Table};
@@ -309,3 +310,31 @@
     let parsed = TaskId::parse(text);
     assert_eq!(parsed.map(|id| id.to_string()), is_valid.then(|| text.to_string()));
 }
+
+/// Removes a field from every map of a value.
+fn remove_field(value: &mut Value, name: &str) -> usize {
+    match value {
+        Value::Map(entries) => {
+            let before = entries.len();
+            entries.retain(|(key, _)| key.as_text() != Some(name));
+            let removed = before - entries.len();
+            removed + entries.iter_mut().map(|(_, value)| remove_field(value, name)).sum::<usize>()
+        }
+        Value::Array(values) => values.iter_mut().map(|value| remove_field(value, name)).sum(),
+        _ => 0,
+    }
+}
+
+/// Snapshots of members that don't know these fields yet.
+#[rstest]
+#[case::broken_run("broken_run")]
+#[case::lapsed_run("lapsed_run")]
+fn a_stored_task_without_a_newer_field_is_read(#[case] field: &str) {
+    let mut harness = Harness::new();
+    harness.submit(1, "small", vec![step(1)]);
+    harness.start(task_id(1, 0, 0), 1, "w0");
+    let mut stored = Value::serialized(&harness.table).expect("the table is serialized");
+    assert_eq!(remove_field(&mut stored, field), 1);
+    let read: Table = stored.deserialized().expect("the older table is read");
+    assert_eq!(read, harness.table);
+}
