Fleet: a run whose loss is being committed gets no start order

Cause: orders are derived from the replicated table. Between the moment at which the leader infers that a run is lost and the commit of its end, the table still places the run, so that a worker which is heard again in that time received the start order that it had missed, while the task's next run was started elsewhere.

Change: the fleet keeps every end that was reported or inferred until the table has recorded it, and proposes it again in each round. Such a run gets no order but to stop, and no other task of its gang's run is started. Heartbeats and rounds are bound to the term in which leadership was confirmed; before, they took the current term when they had the lock.

Ruled out: a worker that lists the run (its lease is over by its own clock), and two leaders (one term in all orders of the case).

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -1,6 +1,7 @@
 //! The leader's view of workers: heartbeats, leases, and the health of their runs.
 
 mod health;
+mod pending;
 mod progress;
 mod session;
 
@@ -11,6 +12,7 @@
 use super::pace::Rate;
 use super::table::{self, End, Table};
 use super::worker::{Exit, Heartbeat, Orders, Start};
+use pending::Ends;
 pub use session::Session;
 
 /// Divisor of a lease for the assumed clock drift of a worker: a clock that is 2% slow, doubled as
@@ -84,6 +86,9 @@
     departed: BTreeMap<String, u64>,
     // How often each task was stopped as stuck.
     stalls: BTreeMap<TaskId, u32>,
+    // Ends that this leader has learned of or inferred. Their runs get no orders but to stop, since
+    // the tasks may start elsewhere as soon as the ends are recorded.
+    pending_ends: Ends,
 }
 
 impl Fleet {
@@ -129,6 +134,7 @@
         let ends = session.ends_in(&heartbeat, table);
         session.update_health(&heartbeat, &ends, table, now_ms);
         session.update(heartbeat, now_ms, lease_until_ms);
+        ends.iter().for_each(|end| self.pending_ends.add(end.clone()));
         Receipt { is_stale: false, ends }
     }
 
@@ -212,6 +218,22 @@
         ends
     }
 
+    /// Returns the ends to record: those that workers reported, and those of [`Fleet::lost_runs`]. From
+    /// now on the leader treats all these runs as ended, and returns their ends again until the table has
+    /// recorded them.
+    pub fn pending_ends(
+        &mut self,
+        table: &Table,
+        default_lease_until_ms: u64,
+        now_ms: u64,
+    ) -> Vec<End> {
+        self.pending_ends.remove_recorded(table);
+        for end in self.lost_runs(table, default_lease_until_ms, now_ms) {
+            self.pending_ends.add(end);
+        }
+        self.pending_ends.iter().cloned().collect()
+    }
+
     /// Returns runs whose workers send heartbeats but report no progress for far longer than the
     /// expected time for one percent. Workers without recent heartbeats are left out: the state of
     /// their runs is unknown. Runs away from their data take `remote_factor` times as long.
@@ -345,7 +367,8 @@
                     && active.worker == *worker
                     && active.incarnation == heartbeat.incarnation
             });
-            if active.is_none_or(|active| active.is_stopping) {
+            let has_ended = self.pending_ends.contains(&row.task, row.run);
+            if has_ended || active.is_none_or(|active| active.is_stopping) {
                 orders.stop.push((row.task, row.run));
             }
         }
@@ -362,6 +385,12 @@
                 continue;
             }
             let Some(job) = table.live.get(&task.job) else { continue };
+            let is_gang = job.spec.steps.get(task.step as usize).is_some_and(|step| step.is_gang);
+            let has_ended = self.pending_ends.contains(task, run.number)
+                || (is_gang && self.pending_ends.contains_step_run(task, run.number));
+            if has_ended {
+                continue;
+            }
             let checkpoint = job.task(task).map(|task| task.checkpoint.clone()).unwrap_or_default();
             let payload = job.spec.payload.clone();
             orders.start.push(Start { task: *task, run: run.number, payload, checkpoint });
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -20,7 +20,7 @@
 use crate::batch::plan::{Planner, Times};
 use crate::batch::table::{Command as Batch, End, Round, Table as Jobs};
 use crate::batch::worker::Exit;
-use crate::error::Result;
+use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Mutex, Rank};
 use crate::kernel::timer::wall_ms;
 use crate::settings::Settings;
@@ -48,8 +48,6 @@
     balancer: Balancer,
     planner: Planner,
     estimates: Estimates,
-    // Ended runs that the next round commits.
-    ends: Vec<End>,
 }
 
 impl Dispatch {
@@ -121,14 +119,20 @@
 }
 
 impl Term {
-    // Heartbeats of an earlier term are outdated; only the estimates are kept.
-    fn reset_on_new_term(&mut self, control: &Control) {
-        let term = control.group.term();
-        if self.fleet.term() == term {
-            return;
+    // Enters the term in which this member was confirmed as the leader. Heartbeats of an earlier term
+    // are outdated; only the estimates are kept. Fails if the term has ended meanwhile: the table may
+    // lack what the next leader has committed.
+    fn enter(&mut self, term: u64, control: &Control) -> Result<()> {
+        let current_term = control.group.term();
+        if current_term != term {
+            let message = format!("term {term} is over; this is term {current_term}");
+            return Err(Error::not_run(Code::NotLeader, message));
         }
-        let estimates = std::mem::take(&mut self.estimates);
-        *self = Self { fleet: Fleet::of_term(term), estimates, ..Self::default() };
+        if self.fleet.term() != term {
+            let estimates = std::mem::take(&mut self.estimates);
+            *self = Self { fleet: Fleet::of_term(term), estimates, ..Self::default() };
+        }
+        Ok(())
     }
 
     fn record_durations(&mut self, table: &Jobs, ends: &[End]) {
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -35,10 +35,10 @@
     receiver: &str,
     heartbeat: Heartbeat,
 ) -> Result<Answer> {
-    control.group.read().await?;
+    let term = control.group.read_in_term().await?;
     let received_ms = control.timer.now_ms();
     let (worker, sequence) = (heartbeat.worker.clone(), heartbeat.sequence);
-    let Some(receipt) = record_heartbeat(control, heartbeat, received_ms) else {
+    let Some(receipt) = record_heartbeat(control, heartbeat, term, received_ms)? else {
         tracing::debug!(target: DECISION, worker, "outdated heartbeat dropped");
         return Ok(Answer::Orders(Box::default()));
     };
@@ -55,7 +55,9 @@
         // Only a leader that is still confirmed may extend the worker's lease.
         control.group.read().await?;
         let machine = control.machine.lock();
-        orders = control.dispatch.term_state.lock().fleet.issue_orders(&worker, &machine.batch);
+        let mut term_state = control.dispatch.term_state.lock();
+        term_state.enter(term, control)?;
+        orders = term_state.fleet.issue_orders(&worker, &machine.batch);
     }
     let latency_ms = control.timer.now_ms() - received_ms;
     let rate = *control.dispatch.heartbeat_rate.lock();
@@ -98,21 +100,25 @@
 }
 
 // Records a heartbeat; `None` if it is older than one recorded before.
-fn record_heartbeat(control: &Control, heartbeat: Heartbeat, now_ms: u64) -> Option<Receipt> {
+fn record_heartbeat(
+    control: &Control,
+    heartbeat: Heartbeat,
+    term: u64,
+    now_ms: u64,
+) -> Result<Option<Receipt>> {
     let dispatch = &control.dispatch;
     let worker = heartbeat.worker.clone();
     let machine = control.machine.lock();
     let mut term_state = dispatch.term_state.lock();
-    term_state.reset_on_new_term(control);
+    term_state.enter(term, control)?;
     let receipt = term_state.fleet.receive(heartbeat, &machine.batch, dispatch.lease_ms, now_ms);
     if receipt.is_stale {
-        return None;
+        return Ok(None);
     }
     term_state.record_durations(&machine.batch, &receipt.ends);
-    term_state.ends.extend(receipt.ends.iter().cloned());
     let orders = term_state.fleet.issue_orders(&worker, &machine.batch);
     let has_orders = !orders.start.is_empty() || !orders.stop.is_empty();
-    let session = term_state.fleet.session(&worker)?;
+    let Some(session) = term_state.fleet.session(&worker) else { return Ok(None) };
     if session.is_about_to_leave(now_ms) {
         dispatch.round_requested.notify_one();
     }
@@ -121,7 +127,7 @@
     // The heartbeat after this answer confirms the worker, so that it gets work.
     let is_confirmed = session.is_confirmed();
     let hold_ms = hold_ms(has_orders || !is_confirmed, next_end_ms);
-    Some(Receipt { ends: receipt.ends, orders, hold_ms, is_confirmed, wake })
+    Ok(Some(Receipt { ends: receipt.ends, orders, hold_ms, is_confirmed, wake }))
 }
 
 // How long a heartbeat is held for orders; `None` if it is answered at once.
@@ -164,11 +170,11 @@
     worker: &str,
     incarnation: Option<u64>,
 ) -> Result<Answer> {
-    control.group.read().await?;
+    let term = control.group.read_in_term().await?;
     let runs = {
         let machine = control.machine.lock();
         let mut term_state = control.dispatch.term_state.lock();
-        term_state.reset_on_new_term(control);
+        term_state.enter(term, control)?;
         term_state.fleet.mark_leaving(worker, incarnation, control.timer.now_ms());
         // While a heartbeat is held, the worker can't report its last ended runs.
         term_state.fleet.wake(worker);
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -29,10 +29,11 @@
             () = control.dispatch.round_requested.notified() => {}
             () = control.timer.sleep(Duration::from_millis(MAX_ROUND_INTERVAL_MS)) => {}
         }
-        if !control.group.is_leader() || control.group.read().await.is_err() {
+        if !control.group.is_leader() {
             continue;
         }
-        let (busy, outcome) = run_timed_round(&control).await;
+        let Ok(term) = control.group.read_in_term().await else { continue };
+        let (busy, outcome) = run_timed_round(&control, term).await;
         if let Err(error) = outcome {
             tracing::warn!(%error, "round not committed; workers will report ended runs again");
         }
@@ -46,17 +47,17 @@
 }
 
 // Also returns how long the round kept the processor busy.
-async fn run_timed_round(control: &Control) -> (Duration, Result<()>) {
+async fn run_timed_round(control: &Control, term: u64) -> (Duration, Result<()>) {
     let mut busy = Duration::ZERO;
-    let outcome = run_round(control, &mut busy).await;
+    let outcome = run_round(control, term, &mut busy).await;
     (busy, outcome)
 }
 
-async fn run_round(control: &Control, busy: &mut Duration) -> Result<()> {
+async fn run_round(control: &Control, term: u64, busy: &mut Duration) -> Result<()> {
     let dispatch = &control.dispatch;
     let mut workers_to_wake = BTreeSet::new();
     let started = Instant::now();
-    let (changes, term) = collect_changes(control);
+    let changes = collect_changes(control, term)?;
     *busy += started.elapsed();
     if !changes.is_empty() {
         log_ends(control, &changes);
@@ -67,7 +68,7 @@
         workers_to_wake.extend(workers_of_stopping_runs(control, &runs_before));
     }
     let started = Instant::now();
-    let (plan, term) = decide(control);
+    let plan = decide(control, term)?;
     log_load(control, &plan);
     *busy += started.elapsed();
     Metrics::global().record_placement(started.elapsed().as_secs_f64());
@@ -109,29 +110,26 @@
     stopping.map(|(_, _, worker)| worker.clone()).collect()
 }
 
-// Collects ended runs, lost runs and due occurrences of scheduled jobs. Also returns the term in which
-// the leader has learned of them.
-fn collect_changes(control: &Control) -> (Round, u64) {
+// Collects ended runs, lost runs and due occurrences of scheduled jobs.
+fn collect_changes(control: &Control, term: u64) -> Result<Round> {
     let now_ms = control.timer.now_ms();
     let machine = control.machine.lock();
     let mut term_state = control.dispatch.term_state.lock();
-    term_state.reset_on_new_term(control);
-    let mut ends = std::mem::take(&mut term_state.ends);
+    term_state.enter(term, control)?;
     let role_since_ms = control.group.role_since_ms();
     let takeover_until_ms = role_since_ms + lease_bound_ms(control.dispatch.lease_ms);
-    ends.extend(term_state.fleet.lost_runs(&machine.batch, takeover_until_ms, now_ms));
+    let ends = term_state.fleet.pending_ends(&machine.batch, takeover_until_ms, now_ms);
     term_state.fleet.remove_departed(now_ms);
-    ends.retain(|end| machine.batch.accepts_end(&end.task, end.run, end.how));
     let wall_ms = wall_ms();
     let due_ms = if machine.batch.has_due_occurrence(wall_ms) { wall_ms } else { 0 };
-    (Round { ends, due_ms, ..Round::default() }, term_state.fleet.term())
+    Ok(Round { ends, due_ms, ..Round::default() })
 }
 
-// Also returns the term on whose view of the workers the plan rests.
-fn decide(control: &Control) -> (Plan, u64) {
+fn decide(control: &Control, term: u64) -> Result<Plan> {
     let now_ms = control.timer.now_ms();
     let machine = control.machine.lock();
     let mut term_state = control.dispatch.term_state.lock();
+    term_state.enter(term, control)?;
     let Term { fleet, planner, estimates, .. } = &mut *term_state;
     let remote_factor = control.dispatch.times.remote_factor;
     let stuck = fleet.stuck_runs(&machine.batch, estimates, remote_factor);
@@ -157,7 +155,7 @@
         tracing::info!(target: DECISION, task = %name, run, "stopping run that makes no progress");
         plan.round.stops.push((name, run));
     }
-    (plan, fleet.term())
+    Ok(plan)
 }
 
 // Logs the load of each pool at most once per second, however many rounds there are.
--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -225,6 +225,17 @@
         }
     }
 
+    /// As [`Group::read`]. Returns a term that was current when the read began: while
+    /// [`Group::term`] still returns it, this member leads in it.
+    ///
+    /// # Errors
+    /// As for [`Group::read`].
+    pub async fn read_in_term(&self) -> Result<u64> {
+        let term = self.term();
+        self.read().await?;
+        Ok(term)
+    }
+
     /// Transfers leadership, and waits until this member no longer leads or the attempts are used
     /// up.
     pub async fn transfer_leadership(&self) {
--- a/tests/support/takeover.rs
+++ b/tests/support/takeover.rs
@@ -1,11 +1,12 @@
 //! Seeded simulation of workers and leaders: heartbeats and answers are delayed, reordered and lost,
-//! and workers are cut off, while leaders change. The simulated workers check that no task runs twice.
+//! workers are cut off, and commits take time, while leaders change. The simulated workers check that no
+//! task runs twice.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use eelgrassvalve::batch::fleet::{Fleet, lease_bound_ms};
 use eelgrassvalve::batch::job::{Id, State, Task, TaskId};
-use eelgrassvalve::batch::table::{Command, End, Round, Start};
+use eelgrassvalve::batch::table::{Command, Round, Start};
 use eelgrassvalve::batch::worker::{self, Exit, Heartbeat, Orders};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -60,7 +61,8 @@
     term: u64,
     // When the current leader took over.
     since_ms: u64,
-    ends: Vec<End>,
+    // Rounds that are proposed and not committed, with the time of their commit.
+    log: VecDeque<(u64, Round)>,
     acknowledged: BTreeSet<TaskId>,
     seed: u64,
 }
@@ -78,7 +80,7 @@
             hosts: (0..WORKERS).map(|_| Host::default()).collect(),
             packets: Vec::new(),
             term: 1,
-            ends: Vec::new(),
+            log: VecDeque::new(),
             acknowledged: BTreeSet::new(),
             seed,
         };
@@ -90,6 +92,7 @@
     }
 
     fn advance(&mut self) {
+        self.commit(self.harness.now_ms);
         if self.chance(3) {
             self.change_leader();
         }
@@ -125,7 +128,28 @@
         self.term += 1;
         self.since_ms = self.harness.now_ms;
         self.harness.fleet = Fleet::of_term(self.term);
-        self.ends.clear();
+        // The log of a new leader holds what was committed, and may hold more.
+        if self.chance(500) {
+            self.commit(u64::MAX);
+        }
+        self.log.clear();
+    }
+
+    // Applies the rounds that are committed by a time.
+    fn commit(&mut self, now_ms: u64) {
+        while self.log.front().is_some_and(|(at_ms, _)| *at_ms <= now_ms) {
+            let Some((_, round)) = self.log.pop_front() else { break };
+            self.harness.apply(Command::Round(round));
+        }
+    }
+
+    fn propose(&mut self, round: Round) {
+        let delay_ms = match self.random.random_range(0..100u32) {
+            0..10 => self.random.random_range(0..2_000),
+            _ => self.random.random_range(0..50),
+        };
+        let last_ms = self.log.back().map_or(0, |(at_ms, _)| *at_ms);
+        self.log.push_back((last_ms.max(self.harness.now_ms + delay_ms), round));
     }
 
     fn is_cut(&self, at: usize) -> bool {
@@ -225,8 +249,6 @@
         if receipt.is_stale {
             return;
         }
-        self.ends.extend(receipt.ends);
-        self.commit_ends();
         let mut orders = self.harness.fleet.issue_orders(&name, &self.harness.table);
         let now_ms = self.harness.now_ms;
         self.harness.fleet.record_answer(&name, sequence, now_ms);
@@ -236,18 +258,20 @@
         self.send(Packet::Answer { worker, sequence, orders });
     }
 
-    fn commit_ends(&mut self) {
-        let ends = std::mem::take(&mut self.ends);
-        self.harness.apply(Command::Round(Round { ends, ..Round::default() }));
-    }
-
-    // Ends lost runs, then stops and starts runs at random.
+    // Proposes the ends, or stops and starts runs at random. A round that waits for its commit delays
+    // the next one, but not for ever.
     fn round(&mut self) {
+        if !self.log.is_empty() && !self.chance(50) {
+            return;
+        }
         let now_ms = self.harness.now_ms;
         let takeover_until_ms = self.since_ms + lease_bound_ms(LEASE_MS);
-        let lost = self.harness.fleet.lost_runs(&self.harness.table, takeover_until_ms, now_ms);
-        self.ends.extend(lost);
-        self.commit_ends();
+        let harness = &mut self.harness;
+        let ends = harness.fleet.pending_ends(&harness.table, takeover_until_ms, now_ms);
+        if !ends.is_empty() {
+            self.propose(Round { ends, ..Round::default() });
+            return;
+        }
         let mut round = Round::default();
         for index in 0..TASKS {
             let task = task_id(1, 0, index);
@@ -269,7 +293,7 @@
         }
         self.plan_gang(&mut round);
         self.harness.fleet.record_starts(&round.starts);
-        self.harness.apply(Command::Round(round));
+        self.propose(round);
     }
 
     // Starts the gang as a whole once all its tasks wait, and stops it by chance.
