Rounds: split a large round into commands, and cut a large decision short

Cause: all starts of a decision were one command. 47,500 of them are longer than the 4 MiB of a command, so that each round was refused and decided again. Ends and stops could do the same.

Change: Round::into_parts splits a round into commands of 512 KiB; the starts of one step stay together, since a gang must not be placed in part. A decision ends after 2,000 starts and the next one follows at once. The refusal of a long command names its size and the limit.

Tests: load_backlog. With unlimited decisions and no split, an urgent job waits behind the backlog, and commands of up to 8.8 MB are refused: 3 of its 10 cases fail.

--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -28,6 +28,9 @@
 const EVICTION_RESPONSE_MS: u64 = 900;
 /// Maximum number of eviction searches in one decision; bounds the time that a decision takes.
 const MAX_EVICTION_SEARCHES: usize = 6;
+/// Number of starts after which a decision is cut short: committing them takes so little time that an
+/// urgent job which arrives meanwhile need not wait for a backlog to be placed.
+const MAX_STARTS: usize = 2_000;
 /// Maximum number of gangs for which one decision reserves capacity ahead of less urgent work.
 const MAX_RESERVATIONS: usize = 5;
 
@@ -91,6 +94,8 @@
     pub explanations: Vec<Explanation>,
     /// Number of candidates that still wait.
     pub waiting: usize,
+    /// Whether the decision was cut short, so that the next one is due at once.
+    pub is_cut_short: bool,
     /// Number of candidates that are too late for their result to be of use.
     pub expired: usize,
     /// Share of each pool's accelerators (or cores, if it has none) that is in use.
@@ -223,16 +228,29 @@
         self.remove_stale_evictions(view.now_ms, &candidates);
         let mut decision = Decision::new(view);
         decision.plan.expired = candidates.iter().filter(|candidate| candidate.is_expired).count();
-        for candidate in &candidates {
+        for (at, candidate) in candidates.iter().enumerate() {
+            let starts_left = MAX_STARTS.saturating_sub(decision.plan.round.starts.len());
+            if starts_left == 0 {
+                decision.cut_short(candidates.len() - at);
+                break;
+            }
             if decision.is_unplaceable(candidate) && !self.evictions.contains_key(&candidate.id) {
                 decision.plan.waiting += 1;
                 continue;
             }
-            let allocation = allocation::find(&decision.cluster, candidate);
+            let mut allocation = allocation::find(&decision.cluster, candidate);
+            let is_limited = !candidate.step.is_gang && allocation.count() > starts_left;
+            if is_limited {
+                allocation.truncate(starts_left as u64);
+            }
             if !allocation.is_empty() {
                 self.evictions.remove(&candidate.id);
                 place(&mut decision.cluster, candidate, &allocation, &mut decision.plan);
             }
+            if is_limited {
+                decision.cut_short(candidates.len() - at);
+                break;
+            }
             if allocation.count() >= candidate.tasks.len() {
                 continue;
             }
@@ -305,6 +323,11 @@
             && !candidate.may_evict(&self.view)
     }
 
+    fn cut_short(&mut self, candidates_left: usize) {
+        self.plan.waiting += candidates_left;
+        self.plan.is_cut_short = true;
+    }
+
     // Evicts less urgent runs for a step and holds the capacity that they free.
     fn evict(&mut self, candidate: &Candidate<'_>) -> Option<BTreeMap<String, u64>> {
         if self.eviction_searches >= MAX_EVICTION_SEARCHES {
--- a/src/batch/plan/allocation.rs
+++ b/src/batch/plan/allocation.rs
@@ -29,6 +29,16 @@
     pub(super) fn is_empty(&self) -> bool {
         self.slots.is_empty()
     }
+
+    /// Keeps slots for the first `count` tasks.
+    pub(super) fn truncate(&mut self, count: u64) {
+        let mut left = count;
+        for (_, slots) in &mut self.slots {
+            *slots = left.min(*slots);
+            left -= *slots;
+        }
+        self.slots.retain(|(_, slots)| *slots > 0);
+    }
 }
 
 /// Finds capacity for the waiting tasks: for all or none of a gang, for as many as possible of any
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -1,6 +1,7 @@
 //! Replicated state of batch jobs: the configuration document and all jobs.
 
 mod ends;
+mod parts;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,6 +16,9 @@
 /// Time for which an ended job is kept, in milliseconds: callers may ask for its phase that long.
 const ENDED_JOB_RETENTION_MS: u64 = 300_000;
 
+/// Size of a round in the log from which on it is split, in bytes: an eighth of the longest command.
+pub const MAX_ROUND_BYTES: usize = 512 << 10;
+
 /// A durable change.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Command {
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -18,7 +18,7 @@
 use crate::batch::fleet::Fleet;
 use crate::batch::pace::Rate;
 use crate::batch::plan::{Planner, Times};
-use crate::batch::table::{Command as Batch, End, Round, Table as Jobs};
+use crate::batch::table::{Command as Batch, End, MAX_ROUND_BYTES, Round, Table as Jobs};
 use crate::batch::worker::Exit;
 use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Mutex, Rank};
@@ -109,12 +109,15 @@
     Ok(())
 }
 
-// Proposes a round that was decided on what this leader knew in a term.
+// Proposes a round that was decided on what this leader knew in a term. The parts of a large one are
+// committed one after the other, so that smaller changes need not wait for all of it.
 async fn propose_round(control: &Control, round: Round, term: u64) -> Result<()> {
-    let started = Instant::now();
-    let command = Command::Batch(Batch::Round(round));
-    control.group.propose_in_term(command, term, COMMIT_TIMEOUT).await?;
-    Metrics::global().record_commit(started.elapsed().as_secs_f64());
+    for part in round.into_parts(MAX_ROUND_BYTES) {
+        let started = Instant::now();
+        let command = Command::Batch(Batch::Round(part));
+        control.group.propose_in_term(command, term, COMMIT_TIMEOUT).await?;
+        Metrics::global().record_commit(started.elapsed().as_secs_f64());
+    }
     Ok(())
 }
 
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -73,6 +73,9 @@
     *busy += started.elapsed();
     Metrics::global().record_placement(started.elapsed().as_secs_f64());
     Metrics::global().set_steps_waiting(plan.waiting as u64);
+    if plan.is_cut_short {
+        dispatch.round_requested.notify_one();
+    }
     if !plan.round.is_empty() {
         log_plan(control, &plan);
         workers_to_wake.extend(plan.round.starts.iter().map(|start| start.worker.clone()));
--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -22,6 +22,7 @@
 use crate::settings::Settings;
 use crate::state::{Command, Machine, Reply};
 use driver::Driver;
+pub use driver::MAX_COMMAND_BYTES;
 use leadership::Leadership;
 
 /// Capacity of the queue of requests to the replica thread.
--- a/src/control/group/driver.rs
+++ b/src/control/group/driver.rs
@@ -33,7 +33,7 @@
 /// Interval at which the status is published, in milliseconds.
 const PUBLISH_INTERVAL_MS: u64 = 1_000;
 /// Longest encoded command in bytes, well below the frame limit between daemons.
-const MAX_COMMAND_BYTES: usize = 4 << 20;
+pub const MAX_COMMAND_BYTES: usize = 4 << 20;
 
 /// Replaces the state machine by the one in a snapshot.
 pub(super) fn restore(machine: &Mutex<Machine>, data: &[u8]) {
@@ -170,7 +170,10 @@
             Request::Propose { command, done, .. } => {
                 let command = encode(&state::Record { at_ms: wall_ms(), command: *command });
                 if command.len() > MAX_COMMAND_BYTES {
-                    let message = "the change is too long for the log";
+                    let bytes = command.len();
+                    let message = format!(
+                        "the change takes {bytes} bytes in the log, more than {MAX_COMMAND_BYTES}"
+                    );
                     let _ = done.send(Err(Error::not_run(Code::TooLarge, message)));
                     return;
                 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -33,7 +33,7 @@
 use crate::state::claim::{self, Key};
 use crate::state::{Command, Machine, Reply, job};
 pub use dispatch::membership::next_membership_change;
-pub use group::{Group, Status};
+pub use group::{Group, MAX_COMMAND_BYTES, Status};
 
 /// Timeout for committing a command through the replicated log.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(5);
