Fleet: orders that make an answer too long follow with the next ones

Cause: one answer held all start orders, each with the payload, 5.1 MB in all. A worker drops an answer of more than 4 MiB, and a link between members breaks at 8 MiB. The same holds for the stop orders of very many runs and for the heartbeat that lists them, which members refused from 1 MiB on.

Change: 512 KiB of orders go into an answer, and the next heartbeat is asked for after 20 ms while there are more. What a heartbeat lists is looked up in an index; before, the time grew with the square of the runs.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -36,6 +36,12 @@
 /// have ended.
 const MAX_REPORTED_ENDS: usize = 500;
 
+/// Maximum size of the orders in one answer, in bytes. A worker drops an answer of more than 4 MiB, and
+/// each byte of text may take six in the answer if it has to be escaped.
+const MAX_ORDERS_BYTES: usize = 512 << 10;
+/// Size of an order without its texts, in bytes.
+const ORDER_BYTES: usize = 64;
+
 /// Time from the receipt of a heartbeat until a lease granted for it has certainly expired, in
 /// milliseconds.
 pub fn lease_bound_ms(lease_ms: u64) -> u64 {
@@ -61,6 +67,8 @@
     pub capacity: Resources,
     /// Free resources.
     pub free: Resources,
+    /// Number of runs that are placed on the worker.
+    pub runs: u64,
     /// Whether the worker takes new work.
     pub is_open: bool,
 }
@@ -313,6 +321,7 @@
                 labels: &heartbeat.labels,
                 capacity: heartbeat.capacity,
                 free: session.free(name, table),
+                runs: table.count_runs_on(name),
                 is_open: session.is_confirmed()
                     && !heartbeat.is_draining
                     && !self.leaving.contains_key(name)
@@ -349,11 +358,14 @@
 
     /// Derives the orders for a worker from the table and the worker's latest heartbeat, and
     /// records the starts as sent. The orders carry the term of this view: a worker ignores those of
-    /// an earlier term than the latest that it has seen.
+    /// an earlier term than the latest that it has seen. Orders that would make the answer too long
+    /// follow with the answers to the next heartbeats.
     pub fn issue_orders(&mut self, worker: &str, table: &Table) -> Orders {
         let mut orders = Orders { term: self.term, ..Orders::default() };
         let Some(session) = self.sessions.get_mut(worker) else { return orders };
         let heartbeat = &session.heartbeat;
+        let listed_runs = heartbeat.listed_runs();
+        let mut budget = OrderBudget { left: MAX_ORDERS_BYTES, is_exceeded: false };
         for end in &heartbeat.ended {
             // Ends are acknowledged in the order of the list, once the table has recorded them.
             if table.accepts_end(&end.task, end.run, end.how) {
@@ -368,17 +380,21 @@
                     && active.incarnation == heartbeat.incarnation
             });
             let has_ended = self.pending_ends.contains(&row.task, row.run);
-            if has_ended || active.is_none_or(|active| active.is_stopping) {
+            if (has_ended || active.is_none_or(|active| active.is_stopping)) && budget.take(0) {
                 orders.stop.push((row.task, row.run));
             }
         }
         for (task, run) in table.runs_on(worker) {
-            if heartbeat.lists(task, run.number) || run.incarnation != heartbeat.incarnation {
+            if listed_runs.contains(&(*task, run.number))
+                || run.incarnation != heartbeat.incarnation
+            {
                 continue;
             }
             if run.is_stopping {
                 // The worker rejects the run if a start order of an earlier leader still arrives.
-                orders.stop.push((*task, run.number));
+                if budget.take(0) {
+                    orders.stop.push((*task, run.number));
+                }
                 continue;
             }
             if heartbeat.is_draining {
@@ -391,13 +407,40 @@
             if has_ended {
                 continue;
             }
-            let checkpoint = job.task(task).map(|task| task.checkpoint.clone()).unwrap_or_default();
-            let payload = job.spec.payload.clone();
-            orders.start.push(Start { task: *task, run: run.number, payload, checkpoint });
+            let checkpoint = job.task(task).map_or("", |task| task.checkpoint.as_str());
+            if budget.take(job.spec.payload.len() + checkpoint.len()) {
+                let (payload, checkpoint) = (job.spec.payload.clone(), checkpoint.to_string());
+                orders.start.push(Start { task: *task, run: run.number, payload, checkpoint });
+            }
         }
         session.sent_starts = orders.start.iter().map(|start| (start.task, start.run)).collect();
+        session.has_more_orders = budget.is_exceeded;
         orders
     }
+
+    /// Whether the latest answer to a worker left no room for some of its orders.
+    pub fn has_more_orders(&self, worker: &str) -> bool {
+        self.session(worker).is_some_and(|session| session.has_more_orders)
+    }
+}
+
+/// Bytes that are left in an answer. At least one order is sent, however long it is.
+struct OrderBudget {
+    left: usize,
+    is_exceeded: bool,
+}
+
+impl OrderBudget {
+    // Takes the bytes of an order with this length of text, if they are left.
+    fn take(&mut self, text_bytes: usize) -> bool {
+        let bytes = ORDER_BYTES + text_bytes;
+        if self.is_exceeded || (bytes > self.left && self.left < MAX_ORDERS_BYTES) {
+            self.is_exceeded = true;
+            return false;
+        }
+        self.left = self.left.saturating_sub(bytes);
+        true
+    }
 }
 
 fn lapsed(task: TaskId, run: u32, checkpoint: &str) -> End {
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -47,6 +47,8 @@
     own_runs: BTreeSet<(TaskId, u32)>,
     // Start orders sent with the answer to the latest heartbeat.
     pub(super) sent_starts: BTreeSet<(TaskId, u32)>,
+    // Whether that answer left no room for some of the orders.
+    pub(super) has_more_orders: bool,
     pub(super) progress: BTreeMap<(TaskId, u32), Progress>,
     pub(super) health: Health,
 }
@@ -64,6 +66,7 @@
             answered_ms: 0,
             own_runs: BTreeSet::new(),
             sent_starts: BTreeSet::new(),
+            has_more_orders: false,
             progress: BTreeMap::new(),
             health: Health::default(),
         }
@@ -148,6 +151,7 @@
     // Ends, according to a heartbeat, of the runs that the table places on the worker.
     pub(super) fn ends_in(&mut self, heartbeat: &Heartbeat, table: &Table) -> Vec<End> {
         let mut ends = Vec::new();
+        let listed_runs = heartbeat.listed_runs();
         self.has_unconfirmed_runs = false;
         for (task, run) in table.runs_on(&heartbeat.worker) {
             if run.incarnation > heartbeat.incarnation {
@@ -159,7 +163,7 @@
                 continue;
             }
             let will_start = !run.is_stopping && !heartbeat.is_draining;
-            if heartbeat.lists(task, run.number) || will_start {
+            if listed_runs.contains(&(*task, run.number)) || will_start {
                 continue;
             }
             if !self.is_absence_conclusive(task, run.number)
@@ -296,15 +300,14 @@
             subtract_task(&mut free, task, table);
         }
         let running = self.heartbeat.running.iter().map(|row| (row.task, row.run));
-        let mut others: Vec<(TaskId, u32)> = Vec::new();
+        let mut others: BTreeSet<(TaskId, u32)> = BTreeSet::new();
         for (task, run) in running.chain(self.sent_starts.iter().copied()) {
             let active = table.active_run(&task);
             let is_counted =
                 active.is_some_and(|active| active.number == run && active.worker == worker);
-            if is_counted || others.contains(&(task, run)) {
+            if is_counted || !others.insert((task, run)) {
                 continue;
             }
-            others.push((task, run));
             subtract_task(&mut free, &task, table);
         }
         free
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -162,6 +162,7 @@
         for _ in 0..count {
             self.workers[worker].free.subtract(demand, is_filler);
         }
+        self.workers[worker].runs += count;
     }
 }
 
--- a/src/batch/plan/allocation.rs
+++ b/src/batch/plan/allocation.rs
@@ -12,6 +12,10 @@
 /// Pool utilization below which a step may run away from its data if it still completes on time.
 const MAX_UTILIZATION_ON_TIME: f64 = 0.5;
 
+/// Maximum number of runs on one worker: its heartbeat, which lists all of them, must be short enough to
+/// be accepted, at up to 190 bytes a run.
+const MAX_RUNS_ON_WORKER: u64 = 16_000;
+
 /// Free capacity for the tasks of a step.
 #[derive(Debug, Default)]
 pub(super) struct Allocation {
@@ -184,7 +188,8 @@
 /// Maximum number of tasks of the step that may be placed on a worker. It never exceeds the number
 /// of waiting tasks: any number of tasks without resource demand would fit.
 pub(super) fn task_limit_on(candidate: &Candidate<'_>, worker: &Worker<'_>) -> u64 {
-    let tasks = candidate.tasks.len() as u64;
+    let runs_left = MAX_RUNS_ON_WORKER.saturating_sub(worker.runs);
+    let tasks = runs_left.min(candidate.tasks.len() as u64);
     match u64::from(candidate.step.per_worker) {
         0 => tasks,
         limit => tasks.min(limit.saturating_sub(count_tasks_on(candidate, worker.name))),
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -178,6 +178,11 @@
         placed.filter_map(|(task, _)| Some((task, self.active_run(task)?)))
     }
 
+    /// Number of active runs on a worker.
+    pub fn count_runs_on(&self, worker: &str) -> u64 {
+        self.placed.get(worker).map_or(0, |runs| runs.len() as u64)
+    }
+
     /// Workers with active runs.
     pub fn occupied_workers(&self) -> impl Iterator<Item = &String> {
         self.placed.keys()
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -1,5 +1,7 @@
 //! Heartbeats of workers and the orders sent in answer.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use super::job::TaskId;
@@ -95,10 +97,10 @@
 }
 
 impl Heartbeat {
-    /// Whether the heartbeat lists a run, as running or as ended.
-    pub fn lists(&self, task: &TaskId, run: u32) -> bool {
-        self.running.iter().any(|row| row.task == *task && row.run == run)
-            || self.ended.iter().any(|end| end.task == *task && end.run == run)
+    /// Runs that the heartbeat lists, as running or as ended.
+    pub fn listed_runs(&self) -> BTreeSet<(TaskId, u32)> {
+        let running = self.running.iter().map(|row| (row.task, row.run));
+        running.chain(self.ended.iter().map(|end| (end.task, end.run))).collect()
     }
 }
 
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -61,15 +61,16 @@
     }
     let latency_ms = control.timer.now_ms() - received_ms;
     let rate = *control.dispatch.heartbeat_rate.lock();
-    let interval_ms = {
+    let (interval_ms, has_more_orders) = {
         let mut term_state = control.dispatch.term_state.lock();
         term_state.fleet.record_answer(&worker, sequence, control.timer.now_ms());
         orders.next_member = next_member(control, &mut term_state, &worker, receiver);
-        term_state.fleet.min_heartbeat_interval_ms(&worker, rate)
+        let interval_ms = term_state.fleet.min_heartbeat_interval_ms(&worker, rate);
+        (interval_ms, term_state.fleet.has_more_orders(&worker))
     };
     let is_held = hold_ms.is_some();
-    let next_ms =
-        if is_held || !receipt.is_confirmed { NEXT_HEARTBEAT_MS } else { NEAR_END_HEARTBEAT_MS };
+    let is_next_due = is_held || !receipt.is_confirmed || has_more_orders;
+    let next_ms = if is_next_due { NEXT_HEARTBEAT_MS } else { NEAR_END_HEARTBEAT_MS };
     orders.lease_ms = Some(control.dispatch.lease_ms);
     orders.next_ms = next_ms.max(interval_ms.saturating_sub(latency_ms));
     log_orders(&worker, &orders);
--- a/tests/load_backlog.rs
+++ b/tests/load_backlog.rs
@@ -1,5 +1,5 @@
-//! Large backlogs that become due at once: what a leader writes to its log stays within its limits, and
-//! urgent work doesn't wait for the backlog.
+//! Large backlogs that become due at once: what a leader writes to its log and sends to workers stays
+//! within its limits, and urgent work doesn't wait for the backlog.
 
 mod support;
 
@@ -12,6 +12,9 @@
 use rstest::rstest;
 use support::batch::{Harness, step, task_id};
 
+/// Size limit of an answer to a worker, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
 /// A step of `count` tasks, of which a worker holds thousands.
 fn tiny(count: u32) -> Step {
     let demand = Resources { cpu_milli: 20, memory_mb: 20, accelerators: 0 };
@@ -155,3 +158,59 @@
     }
     assert_eq!(harness.table.live[&Id(1)].opened, 1);
 }
+
+/// Size of the text of the orders if each byte has to be escaped.
+fn answer_bytes(orders: &eelgrassvalve::batch::worker::Orders) -> usize {
+    let texts = orders.start.iter().map(|start| 6 * (start.payload.len() + start.checkpoint.len()));
+    texts.sum::<usize>() + 64 * (orders.start.len() + orders.stop.len())
+}
+
+/// Guards against a worker that is cut off for good by an answer that is longer than it accepts.
+#[rstest]
+#[case::small_payloads(1_500, 35)]
+#[case::long_payloads(1_500, 4_000)]
+#[case::longest_payloads(200, 64 << 10)]
+#[case::gang_with_long_payloads(2_000, 4_000)]
+fn start_orders_are_spread_over_answers(#[case] count: u32, #[case] payload_bytes: usize) {
+    let mut harness = Harness::with_workers(1);
+    let payload = "x".repeat(payload_bytes);
+    harness.submit_spec(1, "large", Spec { payload, steps: vec![tiny(count)], schedule: None });
+    assert_eq!(harness.run_round().round.starts.len(), count as usize);
+    let mut begun = std::collections::BTreeSet::new();
+    let mut answers = 0;
+    while begun.len() < count as usize {
+        harness.receive_heartbeat("w0", |heartbeat| {
+            heartbeat.running.retain(|row| begun.contains(&row.task));
+        });
+        let orders = harness.fleet.issue_orders("w0", &harness.table);
+        assert!(answer_bytes(&orders) <= MAX_ANSWER_BYTES, "{} starts", orders.start.len());
+        assert!(!orders.start.is_empty());
+        begun.extend(orders.start.iter().map(|start| start.task));
+        assert_eq!(harness.fleet.has_more_orders("w0"), begun.len() < count as usize);
+        answers += 1;
+    }
+    assert!(answers <= count as usize * payload_bytes.max(64) / (256 << 10) + 1, "{answers}");
+}
+
+/// Stop orders of a cancelled job, whose worker runs a great many tasks, are spread likewise.
+#[test]
+fn stop_orders_are_spread_over_answers() {
+    let mut harness = Harness::with_workers(1);
+    for id in 1..=3 {
+        harness.submit(id, "large", vec![Step { demand: Resources::default(), ..tiny(9_000) }]);
+    }
+    while harness.run_round().is_cut_short {}
+    let mut left = 0;
+    harness.receive_heartbeat("w0", |heartbeat| left = heartbeat.running.len());
+    assert_eq!(left, 16_000, "the heartbeat of a worker stays short enough to be accepted");
+    (1..=3).for_each(|id| harness.apply(Command::Cancel(Id(id))));
+    let mut running = harness.fleet.session("w0").expect("it is known").heartbeat.running.clone();
+    while !running.is_empty() {
+        harness.receive_heartbeat("w0", |heartbeat| heartbeat.running.clone_from(&running));
+        let orders = harness.fleet.issue_orders("w0", &harness.table);
+        assert!(answer_bytes(&orders) <= MAX_ANSWER_BYTES && !orders.stop.is_empty());
+        let stopped: std::collections::BTreeSet<TaskId> =
+            orders.stop.iter().map(|(task, _)| *task).collect();
+        running.retain(|row| !stopped.contains(&row.task));
+    }
+}
