--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -40,6 +40,8 @@
     pub(super) has_unconfirmed_runs: bool,
     // Whether the latest heartbeat was composed after an answer of this leader had arrived.
     is_current: bool,
+    // Whether a heartbeat without a clock arrived after an answer to an earlier one.
+    is_answered_without_clock: bool,
     // Clock of the worker in the latest heartbeat, once that heartbeat was answered, and when it was.
     answered_clock_ms: Option<u64>,
     answered_ms: u64,
@@ -62,6 +64,7 @@
             orders_ready: Arc::new(Notify::new()),
             has_unconfirmed_runs: false,
             is_current: false,
+            is_answered_without_clock: false,
             answered_clock_ms: None,
             answered_ms: 0,
             own_runs: BTreeSet::new(),
@@ -118,9 +121,9 @@
 
     /// Whether the worker is known to have received an answer of this leader, so that it exists. A
     /// first heartbeat may be a late one of a worker that has left. Workers that send no clock are
-    /// taken on trust.
+    /// taken on trust from the second heartbeat on.
     pub fn is_confirmed(&self) -> bool {
-        self.is_current || self.heartbeat.clock_ms.is_none()
+        self.is_current || self.is_answered_without_clock
     }
 
     // Records that this leader placed a run on the worker.
@@ -140,6 +143,7 @@
     // Checks whether a heartbeat was composed after an answer of this leader.
     pub(super) fn update_currency(&mut self, heartbeat: &Heartbeat) {
         self.is_current |= self.follows_answer(heartbeat);
+        self.is_answered_without_clock |= heartbeat.clock_ms.is_none() && self.answered_ms > 0;
     }
 
     // Whether a run that a newer heartbeat does not list is certainly not on the worker. Start orders
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -96,7 +96,32 @@
     pub ended: Vec<End>,
 }
 
+/// Maximum length of the name of a worker, in bytes; names are part of the log.
+pub const MAX_NAME_BYTES: usize = 256;
+/// Highest sequence number of a heartbeat: larger numbers are not exact in all encodings, and no worker
+/// counts that far.
+const MAX_SEQUENCE: u64 = 1 << 53;
+/// How far in the future the start of a worker may be, in milliseconds: more than any difference between
+/// the clocks of two hosts.
+const MAX_CLOCK_DIFFERENCE_MS: u64 = 86_400_000;
+
 impl Heartbeat {
+    /// Returns the reason why no worker can have sent the heartbeat, if there is one. If it were
+    /// received, those that the worker itself sends would count as outdated.
+    pub fn fault(&self, wall_ms: u64) -> Option<String> {
+        if self.worker.len() > MAX_NAME_BYTES {
+            return Some(format!("the worker's name is longer than {MAX_NAME_BYTES} bytes"));
+        }
+        if self.sequence > MAX_SEQUENCE {
+            return Some(format!("sequence number {} is above {MAX_SEQUENCE}", self.sequence));
+        }
+        if self.incarnation > wall_ms.saturating_add(MAX_CLOCK_DIFFERENCE_MS) {
+            let start_ms = self.incarnation;
+            return Some(format!("a start at {start_ms} ms is far after the time, {wall_ms} ms"));
+        }
+        None
+    }
+
     /// Runs that the heartbeat lists, as running or as ended.
     pub fn listed_runs(&self) -> BTreeSet<(TaskId, u32)> {
         let running = self.running.iter().map(|row| (row.task, row.run));
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -10,6 +10,7 @@
 use crate::batch::call::Answer;
 use crate::batch::table::End;
 use crate::batch::worker::{Heartbeat, Orders};
+use crate::error::{Code, Error};
 use crate::kernel::timer::wall_ms;
 use crate::telemetry::{DECISION, Metrics};
 
@@ -35,6 +36,10 @@
     receiver: &str,
     heartbeat: Heartbeat,
 ) -> Result<Answer> {
+    if let Some(fault) = heartbeat.fault(wall_ms()) {
+        tracing::warn!(target: DECISION, worker = heartbeat.worker, reason = fault, "heartbeat refused");
+        return Err(Error::not_run(Code::BadRequest, fault));
+    }
     let term = control.group.read_in_term().await?;
     let received_ms = control.timer.now_ms();
     let (worker, sequence) = (heartbeat.worker.clone(), heartbeat.sequence);
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -531,3 +531,43 @@
     }
     assert_eq!(harness.phase(1), "running", "one of two attempts has failed");
 }
+
+/// A single heartbeat without a clock may be an odd message of another writer: it gets no work, unless
+/// another one follows the answer.
+#[test]
+fn a_worker_without_a_clock_gets_work_from_its_second_heartbeat_on() {
+    let mut harness = Harness::new();
+    harness.submit(1, "small", vec![step(1)]);
+    let beat = |harness: &mut Harness| {
+        harness.receive_heartbeat("w0", |heartbeat| heartbeat.clock_ms = None);
+        harness.run_round().round.starts.len()
+    };
+    assert_eq!(beat(&mut harness), 0);
+    assert_eq!(beat(&mut harness), 0, "the first one was not answered");
+    harness.answer_heartbeat("w0");
+    assert_eq!(beat(&mut harness), 1);
+}
+
+#[rstest]
+#[case::usual("w0", 1, 1_700_000_000_000, false)]
+#[case::without_a_start_time("w0", 1, 0, false)]
+#[case::fast_clock("w0", 1, 1_700_000_060_000, false)]
+#[case::longest_name(&"w".repeat(256), 1, 1, false)]
+#[case::long_name(&"w".repeat(257), 1, 1, true)]
+#[case::largest_sequence_number("w0", 1 << 53, 1, false)]
+#[case::sequence_number_too_large("w0", (1 << 53) + 1, 1, true)]
+#[case::starts_next_week("w0", 1, 1_700_604_800_000, true)]
+#[case::start_time_too_large("w0", 1, u64::MAX, true)]
+fn a_heartbeat_that_no_worker_can_have_sent_is_faulty(
+    #[case] worker: &str,
+    #[case] sequence: u64,
+    #[case] incarnation: u64,
+    #[case] expected: bool,
+) {
+    let mut harness = Harness::with_workers(1);
+    harness.receive_heartbeat("w0", |_| {});
+    let known = &harness.fleet.session("w0").expect("it is known").heartbeat;
+    let heartbeat = Heartbeat { worker: worker.into(), sequence, incarnation, ..known.clone() };
+    let fault = heartbeat.fault(1_700_000_000_000);
+    assert_eq!(fault.is_some(), expected, "{fault:?}");
+}
