Table: jobs follow their queue to another pool

Cause: a job kept the pool that its queue had when it was handed in.

Change: a document that comes into force moves the live jobs of its queues; a job that is committed after it follows too. Runs go on where they are.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -383,7 +383,7 @@
     pub customer: String,
     /// Specification as submitted.
     pub spec: Spec,
-    /// Terms of the queue when the job was submitted.
+    /// Terms of the queue when the job was submitted, but for the pool, which is that of the queue now.
     pub terms: Terms,
     /// When the job was accepted, in milliseconds since 1970.
     pub accepted_ms: u64,
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -119,6 +119,7 @@
             Command::Publish(document) => {
                 if document.revision > self.document.revision {
                     self.document = (**document).clone();
+                    self.follow_queues();
                 }
             }
             Command::Submit(submission) => self.submit(submission, now_ms),
@@ -219,12 +220,31 @@
             finished: 0,
             occurrences: BTreeMap::new(),
         };
+        // The document may have changed since the leader accepted the job.
+        let queue = self.document.queues.iter().find(|queue| queue.name == job.queue);
+        if let Some(queue) = queue {
+            job.terms.pool.clone_from(&queue.terms.pool);
+        }
         if job.spec.schedule.is_none() {
             open_occurrence(&mut job);
         }
         self.live.insert(job.id, job);
     }
 
+    // Moves the jobs of queues that the document sends to another pool. What runs in the old pool goes on
+    // there. Jobs whose queue was removed stay where they are.
+    fn follow_queues(&mut self) {
+        let queues = self.document.queues.iter();
+        let pools: BTreeMap<&str, &String> =
+            queues.map(|queue| (queue.name.as_str(), &queue.terms.pool)).collect();
+        for job in self.live.values_mut() {
+            let Some(pool) = pools.get(job.queue.as_str()) else { continue };
+            if job.terms.pool != **pool {
+                job.terms.pool.clone_from(pool);
+            }
+        }
+    }
+
     fn apply_round(&mut self, round: &Round, now_ms: u64) {
         for end in &round.ends {
             self.end_run(end, now_ms);
