Fleet: an unconfirmed worker is no capacity

A heartbeat of another writer with 2^32-1 accelerators made a busy pool look idle, so that tasks ran away from their data, and jobs that no worker could hold were accepted. The capacity of a worker counts once a second heartbeat has followed an answer of this leader.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -70,6 +70,9 @@
     pub free: Resources,
     /// Number of runs that are placed on the worker.
     pub runs: u64,
+    /// Whether the worker is known to exist. Its capacity counts only then: a single heartbeat may be
+    /// another writer's.
+    pub is_confirmed: bool,
     /// Whether the worker takes new work.
     pub is_open: bool,
 }
@@ -358,6 +361,7 @@
                 capacity: heartbeat.capacity,
                 free: session.free(name, table),
                 runs: table.count_runs_on(name),
+                is_confirmed: session.is_confirmed(),
                 is_open: session.is_confirmed()
                     && !heartbeat.is_draining
                     && !self.leaving.contains_key(name)
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -134,6 +134,9 @@
         let mut racks: BTreeMap<_, Vec<usize>> = BTreeMap::new();
         let mut sums: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
         for (at, worker) in workers.iter().enumerate() {
+            if !worker.is_confirmed {
+                continue;
+            }
             let sum = sums.entry(worker.pool).or_default();
             let (free, capacity) = utilization_amounts(&worker.free, &worker.capacity);
             sum.0 = sum.0.saturating_add(free);
@@ -209,7 +212,7 @@
     pool: &str,
     steps: &[Step],
 ) -> Option<usize> {
-    let of_pool = || workers.iter().filter(|worker| worker.pool == pool);
+    let of_pool = || workers.iter().filter(|worker| worker.pool == pool && worker.is_confirmed);
     of_pool().next()?;
     steps.iter().position(|step| !can_hold(of_pool(), step))
 }
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -4,6 +4,7 @@
 
 use eelgrassvalve::batch::fleet::{Receipt, lease_bound_ms};
 use eelgrassvalve::batch::job::Id;
+use eelgrassvalve::batch::plan::find_unsatisfiable_step;
 use eelgrassvalve::batch::table::Command;
 use eelgrassvalve::batch::worker::{End, Exit, Heartbeat};
 use rstest::rstest;
@@ -571,3 +572,27 @@
     let fault = heartbeat.fault(1_700_000_000_000);
     assert_eq!(fault.is_some(), expected, "{fault:?}");
 }
+
+/// A heartbeat of another writer may claim any capacity. It neither makes a busy pool look idle, nor a
+/// job satisfiable.
+#[test]
+fn an_unconfirmed_worker_is_no_capacity() {
+    let mut harness = Harness::with_workers(2);
+    harness.submit(1, "small", vec![step(16)]);
+    harness.run_round();
+    let too_large = gang(3);
+    let claim = |harness: &mut Harness| {
+        harness.receive_heartbeat("w9", |heartbeat| {
+            heartbeat.capacity.accelerators = u32::MAX;
+            heartbeat.capacity.cpu_milli = u64::MAX;
+            heartbeat.capacity.memory_mb = u64::MAX;
+        });
+        let workers = harness.fleet.workers(&harness.table, harness.now_ms);
+        let step = find_unsatisfiable_step(&workers, "pool", std::slice::from_ref(&too_large));
+        (harness.run_round().utilization["pool"], step)
+    };
+    assert_eq!(claim(&mut harness), (1.0, Some(0)));
+    harness.answer_heartbeat("w9");
+    let (utilization, step) = claim(&mut harness);
+    assert!(utilization < 0.01 && step.is_none(), "it answers to this leader: {utilization}");
+}
