Review: stand-ins of a leader that dies while a key is taken away

Cause: an earlier form froze two members at once, more than the deployment has to bear.

Change: `refused` kills the leader alone.

--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -23,6 +23,7 @@
         "answers" => answers(record, is_troubled),
         "refused" => refused(record, is_troubled),
         "pending" => pending(record, is_troubled),
+        "same-id" => same_id(record, is_troubled),
         "reserved" => reserved(record, is_troubled),
         _ => Err(format!("no case {name}")),
     }
@@ -356,63 +357,80 @@
     Ok(None)
 }
 
-// A submission waits to be committed until its entry has given up the first attempt. Its key is taken
-// away before the second one is looked at.
+// The leader is killed while jobs are handed in, and a key is taken away before another leader is found.
 fn refused(record: &Record, is_troubled: bool) -> Outcome {
-    const JOB: &str = "00000000000000e1";
-    /// Longer than an attempt of the entry, shorter than an election of the leader's without a quorum.
-    const FREEZE_MS: u64 = 1_080;
-    let cluster = Cluster::start(record)?;
+    const ROUNDS: u64 = 12;
+    /// Jobs that are handed in at the same time in a round.
+    const JOBS: u64 = 12;
+    /// `catch_up_s`: a member counts as lost until then.
+    const CATCH_UP_MS: u64 = 4_000;
+    let mut cluster = Cluster::start(record)?;
     cluster.put_first_config(&config(1, "key-1"))?;
-    let _runners = start_runners(&["i-7f3a91c2", "i-90b1d4e5"], &cluster)?;
-    let leader = cluster.leader()?;
-    let followers: Vec<usize> = (0..3).filter(|at| *at != leader).collect();
-    // The answer tells the entry the leader, as for any earlier call.
-    client_call(cluster.entry.address, "GET", "/batch/", "key-1", "");
-    if is_troubled {
-        cluster.signal("STOP", &followers);
-    }
-    let frozen = Instant::now();
-    let client = hand_in(&cluster, JOB, "key-1");
-    pause(100);
-    let next = config(2, "key-2");
-    let operator = {
-        let (to, record, next) = (cluster.members[leader].address, record.clone(), next.clone());
-        std::thread::spawn(move || {
-            record.line("operator: POST /config/put is sent; it takes the key away");
-            let answer = http::call(to, "POST", "/config/put", &[], &next, Duration::from_secs(1));
-            record.line(&format!("operator: POST /config/put: {}", answer.status));
-        })
-    };
-    std::thread::sleep(Duration::from_millis(FREEZE_MS).saturating_sub(frozen.elapsed()));
-    if is_troubled {
-        cluster.signal("CONT", &followers);
+    let ids = ["i-7f3a91c1", "i-7f3a91c2", "i-7f3a91c3", "i-7f3a91c4"];
+    let _runners = start_runners(&ids, &cluster)?;
+    for round in 1..=ROUNDS {
+        let leader = cluster.leader()?;
+        let key = format!("key-{round}");
+        let barrier = Arc::new(Barrier::new(JOBS as usize + 1));
+        let clients: Vec<_> = (0..JOBS)
+            .map(|number| {
+                hand_in(&cluster, &format!("{:016x}", round * 0x100 + number), &key, &barrier)
+            })
+            .collect();
+        barrier.wait();
+        pause(2 + round % 5);
+        if is_troubled {
+            cluster.members[leader].kill();
+            record.line(&format!("{}: killed, the leader", cluster.members[leader].name));
+        }
+        let next = config(round + 1, &format!("key-{}", round + 1));
+        let operator = take_key_away(&cluster, leader, &next);
+        let mut rejected = Vec::new();
+        for client in clients {
+            let (id, statuses) = client.join().map_err(|_| "a client failed".to_string())?;
+            if statuses.iter().all(|status| (400..500).contains(status) || *status == 503) {
+                rejected.push(id);
+            }
+        }
+        let _ = operator.join();
+        if is_troubled {
+            cluster.members[leader].start()?;
+        }
+        pause(CATCH_UP_MS);
+        rejected.retain(|id| !runs_of(record, id).is_empty());
+        if let Some(first) = rejected.first() {
+            return Ok(Some(format!(
+                "REFUSED: {} of {JOBS} jobs ran, though all attempts to hand them in were rejected, as \
+                 {first}; round {round}",
+                rejected.len()
+            )));
+        }
     }
-    let _ = operator.join();
-    let statuses = client.join().map_err(|_| "the client failed".to_string())?;
-    cluster.put_config(&next)?;
-    pause(6_000);
-    let has_run = !runs_of(record, JOB).is_empty();
-    let is_rejection = |status: &u16| (400..500).contains(status) || *status == 503;
-    Ok((has_run && statuses.iter().all(is_rejection)).then(|| {
-        format!(
-            "REFUSED: all attempts to hand in job {JOB} were rejected ({statuses:?}), and its task started"
-        )
-    }))
+    Ok(None)
 }
 
 // Hands a job in as a client does: the same request again while it gets no answer, a 502 or a 504.
 // Returns the statuses of the answers.
-fn hand_in(cluster: &Cluster, id: &str, key: &str) -> std::thread::JoinHandle<Vec<u16>> {
+fn hand_in(
+    cluster: &Cluster,
+    id: &str,
+    key: &str,
+    barrier: &Arc<Barrier>,
+) -> std::thread::JoinHandle<(String, Vec<u16>)> {
     /// Retries of a client.
     const RETRIES: usize = 4;
-    let (to, record, key) = (cluster.entry.address, cluster.record.clone(), key.to_string());
-    let path = format!("/batch/{id}");
+    let (to, record, barrier) = (cluster.entry.address, cluster.record.clone(), barrier.clone());
+    let (id, key) = (id.to_string(), key.to_string());
+    // The text of a job has up to 4,000 bytes.
+    let text = format!("300x1#{}", "-".repeat(3_900));
+    let body = job(1, 1, 300).replace("300x1", &text);
     std::thread::spawn(move || {
+        let path = format!("/batch/{id}");
         let mut statuses = Vec::new();
+        barrier.wait();
         for _ in 0..=RETRIES {
             record.line(&format!("client: POST {path} with {key} is sent"));
-            let answer = client_call(to, "POST", &path, &key, &job(1, 1, 500));
+            let answer = client_call(to, "POST", &path, &key, &body);
             record.line(&format!("client: POST {path}: {} {}", answer.status, answer.text));
             statuses.push(answer.status);
             if !matches!(answer.status, 0 | 502 | 504) {
@@ -420,7 +438,28 @@
             }
             pause(200);
         }
-        statuses
+        (id, statuses)
+    })
+}
+
+// Sends a configuration to the members but one, in turn, until it is acknowledged.
+fn take_key_away(cluster: &Cluster, but: usize, config: &str) -> std::thread::JoinHandle<()> {
+    let (record, config) = (cluster.record.clone(), config.to_string());
+    let others = (0..cluster.members.len()).filter(|at| *at != but);
+    let others: Vec<SocketAddr> = others.map(|at| cluster.members[at].address).collect();
+    std::thread::spawn(move || {
+        for to in others.iter().cycle().take(40) {
+            record.line(&format!(
+                "operator: POST /config/put to {to} is sent; it takes the key away"
+            ));
+            let answer =
+                http::call(*to, "POST", "/config/put", &[], &config, Duration::from_secs(1));
+            record.line(&format!("operator: POST /config/put: {}", answer.status));
+            if answer.status == 200 {
+                return;
+            }
+            pause(50);
+        }
     })
 }
 
@@ -515,3 +554,40 @@
         )
     }))
 }
+
+// Two tenants number their jobs alike, each on its own queue; one of them cancels its job.
+fn same_id(record: &Record, is_troubled: bool) -> Outcome {
+    const KITCHENS: &str = "0000000000000001";
+    let schools_id = if is_troubled { KITCHENS } else { "0000000000000002" };
+    let cluster = Cluster::start(record)?;
+    cluster.put_first_config(&config(1, "key-schools"))?;
+    let _runners = start_runners(&["i-7f3a91c2", "i-90b1d4e5"], &cluster)?;
+    let call = |method: &str, path: &str, key: &str| {
+        let answer = client_call(cluster.entry.address, method, path, key, "");
+        record.line(&format!(
+            "client with {key}: {method} {path}: {} {}",
+            answer.status, answer.text
+        ));
+        answer
+    };
+    let kitchens = format!("/batch/{KITCHENS}");
+    let schools = format!("/urgent/{schools_id}");
+    cluster.submit(&kitchens, "key-kitchens", &job(1, 1, 20_000))?;
+    wait_for_runs(record, KITCHENS, 1)?;
+    cluster.submit(&schools, "key-schools", &job(2, 2, 8_000))?;
+    pause(2_000);
+    let has_begun = record.runs().iter().any(|run| run.spec == "8000x2");
+    call("GET", &schools, "key-schools");
+    call("DELETE", &schools, "key-schools");
+    pause(4_000);
+    let answer = call("GET", &kitchens, "key-kitchens");
+    let state = answer.body.get("state").text();
+    if !matches!(state, "cancelled" | "failed") {
+        return Ok(None);
+    }
+    let begun = if has_begun { "began" } else { "never began, though it was accepted" };
+    Ok(Some(format!(
+        "LOST: job {kitchens} of one tenant is shown as {state}, and its task was stopped, since another \
+         tenant cancelled its own job {schools}; that one {begun}"
+    )))
+}
--- a/review/stand-in-2/record.rs
+++ b/review/stand-in-2/record.rs
@@ -11,6 +11,8 @@
     pub task: String,
     pub number: u64,
     pub runner: String,
+    /// Text of the job, as the start order held it.
+    pub spec: String,
     pub start: Instant,
     pub end: Option<(Instant, &'static str)>,
 }
@@ -38,15 +40,16 @@
         let _ = writeln!(file, "{seconds:7.3} {text}");
     }
 
-    pub fn started(&self, task: &str, number: u64, runner: &str) {
+    pub fn started(&self, task: &str, number: u64, runner: &str, spec: &str) {
         let run = Run {
             task: task.into(),
             number,
             runner: runner.into(),
+            spec: spec.into(),
             start: Instant::now(),
             end: None,
         };
-        self.line(&format!("runner {runner}: starts {task}, run {number}"));
+        self.line(&format!("runner {runner}: starts {task}, run {number}, {spec}"));
         self.runs.lock().expect("the runs are readable").push(run);
     }
 
--- a/review/stand-in-2/runner.rs
+++ b/review/stand-in-2/runner.rs
@@ -1,6 +1,7 @@
 //! A runner as the platform's pages describe it. The text of a job gives the length of its tasks in
 //! milliseconds and the number of their accelerators, as in `8000x1`; tasks of length 0 run until they
-//! are stopped. A job whose text ends with `!` is hopeless: its tasks fail after that time.
+//! are stopped. With a `!` after it, the job is hopeless: its tasks fail after that time. What follows
+//! a `#` has no meaning.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -237,9 +238,10 @@
             return;
         }
         let is_closed = self.closed.get(&name).is_some_and(|closed| run <= *closed);
+        let spec = spec.split('#').next().unwrap_or("");
         let is_hopeless = spec.ends_with('!');
-        let spec = spec.trim_end_matches('!');
-        let (length_ms, accelerators) = spec.split_once('x').unwrap_or((spec, "1"));
+        let figures = spec.trim_end_matches('!');
+        let (length_ms, accelerators) = figures.split_once('x').unwrap_or((figures, "1"));
         let accelerators = accelerators.parse().unwrap_or(1);
         let used: u64 = self.running.iter().map(|task| task.accelerators).sum();
         if is_closed || used + accelerators > ACCELERATORS {
@@ -247,7 +249,7 @@
             self.list_end(name, run, "refused");
             return;
         }
-        self.record.started(&name, run, &self.id);
+        self.record.started(&name, run, &self.id, spec);
         let length = Duration::from_millis(length_ms.parse().unwrap_or(0));
         let start = Instant::now();
         self.running.push(Task { name, run, start, length, accelerators, is_hopeless });
