Client: a refusal after an unanswered attempt doesn't claim that nothing ran

Cause: an entry calls the next member by itself when it got no answer. The verdict of the earlier attempts was kept for the case that nobody answers, but a refusal of a later attempt was returned as it came, `not_run`. The first attempt was in the log, and the next leader committed it.

The adapter answers 504 to every verdict but `not_run` (410 aside), so that callers submit again under the same ID. Cancels, documents and the commands of the product's own interface go through the same function. Reads are as before.

Ruled out: the order in which the leader checks key, queue and room; a new leader reads only after all earlier entries are applied, so the order changes only which refusal is false.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -106,7 +106,7 @@
     /// Calls the leader, and follows redirects and retries until the deadline.
     ///
     /// # Errors
-    /// The leader's refusal, or `no_quorum` with a verdict that says whether any attempt may have
+    /// The leader's refusal, or `no_quorum`, with a verdict that says whether any attempt may have
     /// run.
     pub async fn call(&self, call: Call, within: Duration) -> Result<Answer> {
         let deadline_ms = self.timer.now_ms() + within.as_millis() as u64;
@@ -134,7 +134,11 @@
                     self.leader_hint.set(target);
                     return Ok(answer);
                 }
-                Err(error) if is_final(&error) => return Err(error),
+                // The refusal is about this attempt; an earlier one may still take effect.
+                Err(error) if is_final(&error) && has_not_run => return Err(error),
+                Err(error) if is_final(&error) => {
+                    return Err(error.after_earlier_send().retry_after(RETRY_AFTER));
+                }
                 Err(error) => {
                     if call.is_durable() {
                         verdict = verdict.max(error.verdict);
