--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -332,14 +332,17 @@
         self.plan.is_cut_short = true;
     }
 
-    // Evicts less urgent runs for a step and holds the capacity that they free.
+    // Evicts runs for a step and holds the capacity that they free.
     fn evict(&mut self, candidate: &Candidate<'_>) -> Option<BTreeMap<String, u64>> {
         if self.eviction_searches >= MAX_EVICTION_SEARCHES {
             return None;
         }
         self.eviction_searches += 1;
         let found = self.evictor.find(&self.cluster, candidate)?;
-        let explanation = candidate.explain(&self.view, 0, "stops less urgent runs");
+        let is_guarantee_due = candidate.is_guarantee_due(&self.view);
+        let reason =
+            if is_guarantee_due { "reclaims its guarantee" } else { "stops less urgent runs" };
+        let explanation = candidate.explain(&self.view, 0, reason);
         self.plan.explanations.push(Explanation { evicted: found.runs.clone(), ..explanation });
         self.plan.round.stops.extend(found.runs);
         hold_capacity(&mut self.cluster, candidate, &found.slots);
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -122,7 +122,7 @@
         if self.is_late { budget_core_ms / LATE_BUDGET_DIVISOR } else { budget_core_ms }
     }
 
-    /// Whether less urgent runs may be evicted for this step.
+    /// Whether runs may be evicted for this step.
     pub fn may_evict(&self, view: &View<'_>) -> bool {
         self.eviction_budget_core_ms(view) > 0
     }
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -216,7 +216,7 @@
         let (seated, evicted, reason) = (verdict.placed, verdict.evicted.len(), verdict.reason);
         let (run_ms, slack_ms) = (verdict.run_ms, verdict.slack_ms);
         for (task, run) in &verdict.evicted {
-            tracing::info!(target: DECISION, %task, run, yields_to = %job, "stopping run for a more urgent job");
+            tracing::info!(target: DECISION, %task, run, yields_to = %job, "stopping run to make room for a job");
         }
         let waiting = plan.waiting;
         tracing::info!(target: DECISION, %job, occurrence, step, seated, evicted, waiting, run_ms, slack_ms, reason, "placement");
