Dispatch: a held heartbeat gets no orders once its worker has restarted

A heartbeat that was held while its worker restarted was answered with a lease and with the orders of the next incarnation, since orders were derived by the worker's ID alone. Such an answer can arrive after later ones, so that a run which a newer heartbeat shows to be absent begins after all.

Change: `Fleet::answer` derives orders only for the latest heartbeat of a worker; the answer to any other one is empty, as for a heartbeat that comes too late.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -466,6 +466,14 @@
         orders
     }
 
+    /// As [`Fleet::issue_orders`], for the answer to the heartbeat with this stamp; `None` if a later one was
+    /// received. The worker has given the answer up then, or restarted: the next incarnation might follow
+    /// orders that are derived from its own heartbeat, under a lease that counts from an earlier one.
+    pub fn answer(&mut self, worker: &str, stamp: Stamp, table: &Table) -> Option<Orders> {
+        let is_latest = self.session(worker).is_some_and(|known| known.heartbeat.stamp() == stamp);
+        is_latest.then(|| self.issue_orders(worker, table))
+    }
+
     /// Whether the latest answer to a worker left no room for some of its orders.
     pub fn has_more_orders(&self, worker: &str) -> bool {
         self.session(worker).is_some_and(|session| session.has_more_orders)
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -62,7 +62,11 @@
         let machine = control.machine.lock();
         let mut term_state = control.dispatch.term_state.lock();
         term_state.enter(term, control)?;
-        orders = term_state.fleet.issue_orders(&worker, &machine.batch);
+        let Some(latest) = term_state.fleet.answer(&worker, stamp, &machine.batch) else {
+            tracing::debug!(target: DECISION, worker, "held heartbeat superseded by a later one");
+            return Ok(Answer::Orders(Box::default()));
+        };
+        orders = latest;
     }
     let latency_ms = control.timer.now_ms() - received_ms;
     let rate = *control.dispatch.heartbeat_rate.lock();
--- a/tests/fault_restart.rs
+++ b/tests/fault_restart.rs
@@ -186,3 +186,22 @@
         assert_eq!(harness.run_round().round.starts.len(), if is_over { 2 } else { 0 });
     }
 }
+
+/// A heartbeat that was held is answered only if the worker still waits for that answer.
+#[rstest]
+#[case::latest(0, 0, true)]
+#[case::a_later_one_was_received(0, 1, false)]
+#[case::the_worker_restarted(1, 0, false)]
+fn only_the_latest_heartbeat_is_answered_with_orders(
+    #[case] restarts: u64,
+    #[case] later_heartbeats: u64,
+    #[case] expected: bool,
+) {
+    let mut harness = with_start_order_on_its_way();
+    let stamp = harness.fleet.session("w0").expect("it is known").heartbeat.stamp();
+    for _ in 0..restarts + later_heartbeats {
+        harness.receive_heartbeat("w0", |heartbeat| heartbeat.incarnation += restarts);
+    }
+    assert_eq!(harness.fleet.answer("w0", stamp, &harness.table).is_some(), expected);
+    assert!(harness.fleet.answer("w9", stamp, &harness.table).is_none(), "it is unknown");
+}
--- a/tests/support/takeover.rs
+++ b/tests/support/takeover.rs
@@ -25,6 +25,8 @@
 const MAX_RESTART_MS: u64 = 600;
 /// The same for a worker that crashes while a start order is on its way, so that the order arrives.
 const MAX_FAST_RESTART_MS: u64 = 30;
+/// Longest time that a heartbeat is held, in milliseconds.
+const MAX_HOLD_MS: u64 = 600;
 const WORKERS: usize = 3;
 /// Tasks of the first job, which run on their own.
 const TASKS: u32 = 6;
@@ -91,6 +93,8 @@
     gang_starts_ms: Vec<(u32, u64)>,
     // Acknowledged failures of runs of the gang: run and time.
     gang_failures_ms: BTreeMap<u32, u64>,
+    // Heartbeats that are held for orders: when they are answered, and by which worker they were sent.
+    held: Vec<(u64, usize, Stamp)>,
     // When each heartbeat was sent, by worker.
     sent_ms: BTreeMap<(usize, Stamp), u64>,
     seed: u64,
@@ -125,6 +129,7 @@
             acknowledged: BTreeSet::new(),
             gang_starts_ms: Vec::new(),
             gang_failures_ms: BTreeMap::new(),
+            held: Vec::new(),
             sent_ms: BTreeMap::new(),
             seed,
         };
@@ -157,6 +162,7 @@
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.packets).into_iter().partition(|(at_ms, _)| *at_ms <= now_ms);
         self.packets = later;
+        self.answer_held();
         for (_, packet) in due {
             if self.is_cut(packet.worker()) {
                 continue;
@@ -175,6 +181,7 @@
         self.term += 1;
         self.since_ms = self.harness.now_ms;
         self.harness.fleet = Fleet::of_term(self.term);
+        self.held.clear();
         // The log of a new leader holds what was committed, and may hold more.
         if self.chance(500) {
             self.commit(u64::MAX);
@@ -325,18 +332,37 @@
     }
 
     fn receive(&mut self, heartbeat: Heartbeat) {
-        let (name, stamp) = (heartbeat.worker.clone(), heartbeat.stamp());
+        let (at, stamp) = (worker_index(&heartbeat.worker), heartbeat.stamp());
         let harness = &mut self.harness;
         let receipt = harness.fleet.receive(heartbeat, &harness.table, LEASE_MS, harness.now_ms);
         if receipt.is_stale {
             return;
         }
-        let mut orders = self.harness.fleet.issue_orders(&name, &self.harness.table);
+        if self.are_restarts_enabled && self.chance(300) {
+            let hold_ms = self.random.random_range(0..MAX_HOLD_MS);
+            self.held.push((self.harness.now_ms + hold_ms, at, stamp));
+            return;
+        }
+        self.answer(at, stamp);
+    }
+
+    fn answer_held(&mut self) {
+        let now_ms = self.harness.now_ms;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.held).into_iter().partition(|(at_ms, ..)| *at_ms <= now_ms);
+        self.held = later;
+        due.into_iter().for_each(|(_, at, stamp)| self.answer(at, stamp));
+    }
+
+    fn answer(&mut self, worker: usize, stamp: Stamp) {
+        let name = format!("w{worker}");
+        let Some(mut orders) = self.harness.fleet.answer(&name, stamp, &self.harness.table) else {
+            return;
+        };
         let now_ms = self.harness.now_ms;
         self.harness.fleet.record_answer(&name, stamp, now_ms);
         orders.lease_ms = Some(LEASE_MS);
         orders.next_ms = self.random.random_range(20..300);
-        let worker = worker_index(&name);
         let sent_ms = self.sent_ms[&(worker, stamp)];
         let has_starts = !orders.start.is_empty();
         self.send(Packet::Answer(Box::new(Answer { worker, stamp, sent_ms, orders })));
