Fleet: a late leave doesn't end the runs of the next incarnation

Found while looking for other messages of a former incarnation that can make two runs: a worker restarts under its ID, the leave of its former incarnation arrives late, and the runs of the new one start elsewhere 1 s later. Its heartbeats were outdated from then on.

A new leader that had no heartbeat of the worker took a leave for all runs there.

Change: a leave without a start time is believed of a draining worker. Any other one is unconfirmed until a heartbeat follows an answer, and keeps its runs for its lease. A heartbeat that follows an answer sent after the leave withdraws it. Runs of later incarnations than the one that left go on.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 
 use super::estimate::Estimates;
-use super::job::{Progress, Resources, TaskId};
+use super::job::{Progress, Resources, Run, TaskId};
 use super::pace::Rate;
 use super::table::{self, End, Table};
 use super::worker::{Exit, Heartbeat, Orders, Stamp, Start};
@@ -88,13 +88,28 @@
     pub ends: Vec<End>,
 }
 
+/// The announced leave of a worker.
+#[derive(Clone, Copy, Debug)]
+struct Leave {
+    // Last incarnation that leaves.
+    incarnation: u64,
+    announced_ms: u64,
+}
+
+impl Leave {
+    // Whether its runs count as lost.
+    fn is_over(&self, now_ms: u64) -> bool {
+        now_ms >= self.announced_ms + LEAVE_GRACE_MS
+    }
+}
+
 /// All workers.
 #[derive(Debug, Default)]
 pub struct Fleet {
     term: u64,
     sessions: BTreeMap<String, Session>,
-    // Workers that announced their leave, and when their runs count as lost.
-    leaving: BTreeMap<String, u64>,
+    // Workers that announced their leave.
+    leaving: BTreeMap<String, Leave>,
     // Last incarnations of workers that left; their delayed heartbeats are ignored.
     departed: BTreeMap<String, u64>,
     // How often each task was stopped as stuck.
@@ -147,6 +162,12 @@
         let Some(session) = self.sessions.get_mut(&worker) else { return Receipt::default() };
         session.forget_ended_runs(table);
         session.update_currency(&heartbeat);
+        let leave = self.leaving.get(&worker);
+        if leave.is_some_and(|leave| session.is_after_answer_since(&heartbeat, leave.announced_ms))
+        {
+            // The worker is still there: an earlier incarnation has announced the leave.
+            self.leaving.remove(&worker);
+        }
         let ends = session.ends_in(&heartbeat, table);
         session.update_health(&heartbeat, &ends, table, now_ms);
         session.update(heartbeat, now_ms, lease_until_ms);
@@ -174,13 +195,25 @@
 
     /// Records that a worker leaves. Its runs count as lost only after a grace period, since its
     /// last heartbeat may still be in flight and report how they ended.
+    ///
+    /// An announcement that does not name the incarnation may be a late one of an earlier incarnation. It is
+    /// believed of a worker that is draining. Any other worker gets no work until it follows an answer again,
+    /// and keeps its runs until its lease has expired.
     pub fn mark_leaving(&mut self, worker: &str, incarnation: Option<u64>, now_ms: u64) {
-        let current = self.sessions.get(worker).map(|session| session.heartbeat.incarnation);
-        if incarnation.zip(current).is_some_and(|(left, current)| left < current) {
+        let session = self.sessions.get_mut(worker);
+        let current = session.as_ref().map(|session| session.heartbeat.incarnation);
+        let is_draining = session.as_ref().is_some_and(|session| session.heartbeat.is_draining);
+        let incarnation = match incarnation {
             // A delayed message of an earlier incarnation.
-            return;
+            Some(left) if current.is_some_and(|current| left < current) => return,
+            Some(left) => Some(left),
+            None => current.filter(|_| is_draining),
+        };
+        if let Some(incarnation) = incarnation {
+            self.leaving.insert(worker.to_string(), Leave { incarnation, announced_ms: now_ms });
+        } else if let Some(session) = session {
+            session.revoke_confirmation();
         }
-        self.leaving.insert(worker.to_string(), now_ms + LEAVE_GRACE_MS);
     }
 
     /// Removes workers whose grace period after their leave is over, and workers that have
@@ -188,21 +221,21 @@
     pub fn remove_departed(&mut self, now_ms: u64) {
         self.sessions
             .retain(|_, session| now_ms < session.last_heartbeat_ms + SESSION_RETENTION_MS);
-        let is_over = |until_ms: &u64| *until_ms <= now_ms;
-        let workers: Vec<String> = self
-            .leaving
-            .iter()
-            .filter(|(_, until_ms)| is_over(until_ms))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for worker in workers {
-            self.leaving.remove(&worker);
-            if let Some(session) = self.sessions.remove(&worker) {
-                self.departed.insert(worker, session.heartbeat.incarnation);
-            }
+        let (over, open): (BTreeMap<_, _>, BTreeMap<_, _>) = std::mem::take(&mut self.leaving)
+            .into_iter()
+            .partition(|(_, leave)| leave.is_over(now_ms));
+        self.leaving = open;
+        for (worker, leave) in over {
+            self.sessions.remove(&worker);
+            self.departed.insert(worker, leave.incarnation);
         }
     }
 
+    // The announced leave that ends a run on a worker.
+    fn leave_of(&self, worker: &str, run: &Run) -> Option<&Leave> {
+        self.leaving.get(worker).filter(|leave| run.incarnation <= leave.incarnation)
+    }
+
     /// The session of a worker, if this leader has received a heartbeat of it.
     pub fn session(&self, worker: &str) -> Option<&Session> {
         self.sessions.get(worker)
@@ -217,15 +250,15 @@
             let session = self.sessions.get(worker);
             let lease_until_ms =
                 session.map_or(default_lease_until_ms, |known| known.lease_until_ms);
-            let is_lost = now_ms >= self.leaving.get(worker).copied().unwrap_or(lease_until_ms);
             // A worker that still sends heartbeats will report how the run ended.
             let is_silent = session
                 .is_some_and(|known| now_ms >= known.last_heartbeat_ms + MAX_SILENCE_FOR_WORK_MS);
-            if !is_lost && !is_silent {
-                continue;
-            }
             for (task, run) in table.runs_on(worker) {
-                if !is_lost && !table.has_ended_unreported(task, run) {
+                let is_lost = match self.leave_of(worker, run) {
+                    Some(leave) => leave.is_over(now_ms),
+                    None => now_ms >= lease_until_ms,
+                };
+                if !is_lost && !(is_silent && table.has_ended_unreported(task, run)) {
                     continue;
                 }
                 let checkpoint = session.map_or("", |known| known.checkpoint(task, run.number));
@@ -258,8 +291,9 @@
 
     // When the lease of the run's worker has certainly expired, if it has not and the worker has not left.
     fn open_lease_ms(&self, end: &End, table: &Table, now_ms: u64) -> Option<u64> {
-        let worker = &table.active_run(&end.task)?.worker;
-        let session = self.sessions.get(worker).filter(|_| !self.leaving.contains_key(worker))?;
+        let run = table.active_run(&end.task)?;
+        let session =
+            self.sessions.get(&run.worker).filter(|_| self.leave_of(&run.worker, run).is_none())?;
         (now_ms < session.lease_until_ms).then_some(session.lease_until_ms)
     }
 
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -149,6 +149,17 @@
         });
     }
 
+    // Whether a heartbeat was composed after an answer that this leader sent at `since_ms` or later.
+    pub(super) fn is_after_answer_since(&self, heartbeat: &Heartbeat, since_ms: u64) -> bool {
+        self.answered_ms >= since_ms && self.follows_answer(heartbeat)
+    }
+
+    // Makes the worker unconfirmed until a heartbeat follows an answer that is still to come.
+    pub(super) fn revoke_confirmation(&mut self) {
+        self.is_current = false;
+        self.answered_clock_ms = None;
+    }
+
     // Checks whether a heartbeat was composed after an answer of this leader.
     pub(super) fn update_currency(&mut self, heartbeat: &Heartbeat) {
         self.is_current |= self.follows_answer(heartbeat);
