Fleet: hear a worker whose clock was set back before it restarted

A worker that restarts with an earlier start time than before, since its clock was set back, was ignored for as long as its former session was kept (2 min): its heartbeats counted as outdated, so that it got neither a lease nor work.

Change: once every lease of the known incarnation has expired and none of its runs is left, a heartbeat of a seemingly earlier one is received. It may still be a late one, so that the worker gets work only after it follows an answer, as any new one does.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -142,7 +142,10 @@
         now_ms: u64,
     ) -> Receipt {
         let known = self.sessions.get(&heartbeat.worker);
-        let is_late = known.is_some_and(|session| heartbeat.stamp() <= session.heartbeat.stamp());
+        let is_late = known.is_some_and(|session| {
+            heartbeat.stamp() <= session.heartbeat.stamp()
+                && !session.is_replaced_by(&heartbeat, table, now_ms)
+        });
         let has_left =
             self.departed.get(&heartbeat.worker).is_some_and(|left| heartbeat.incarnation <= *left);
         if is_late || has_left {
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -149,6 +149,15 @@
         });
     }
 
+    // Whether a heartbeat of a seemingly earlier incarnation may be one of a later incarnation, whose clock was
+    // set back. It may also be a late one, so that nothing of the known incarnation may be left.
+    pub(super) fn is_replaced_by(&self, heartbeat: &Heartbeat, table: &Table, now_ms: u64) -> bool {
+        let mut runs = table.runs_on(&heartbeat.worker);
+        heartbeat.incarnation < self.heartbeat.incarnation
+            && now_ms >= self.lease_until_ms
+            && runs.all(|(_, run)| run.incarnation <= heartbeat.incarnation)
+    }
+
     // Whether a heartbeat was composed after an answer that this leader sent at `since_ms` or later.
     pub(super) fn is_after_answer_since(&self, heartbeat: &Heartbeat, since_ms: u64) -> bool {
         self.answered_ms >= since_ms && self.follows_answer(heartbeat)
--- a/tests/fault_restart.rs
+++ b/tests/fault_restart.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use eelgrassvalve::batch::fleet::Fleet;
+use eelgrassvalve::batch::table::{Command, Round};
 use eelgrassvalve::batch::worker::{End, Exit, Heartbeat, Run};
 use rstest::rstest;
 use support::batch::{Harness, gang, step, task_id};
@@ -205,3 +206,37 @@
     assert_eq!(harness.fleet.answer("w0", stamp, &harness.table).is_some(), expected);
     assert!(harness.fleet.answer("w9", stamp, &harness.table).is_none(), "it is unknown");
 }
+
+/// The clock of a worker was set back before it restarted. Guards against a worker that is ignored for as long as
+/// its session is kept.
+#[test]
+fn a_worker_that_restarts_with_an_earlier_start_time_is_heard_once_the_lease_has_ended() {
+    let mut harness = Harness::new();
+    for _ in 0..2 {
+        harness.receive_heartbeat("w0", |heartbeat| heartbeat.incarnation = 5);
+        harness.answer_heartbeat("w0");
+    }
+    harness.submit(1, "small", vec![step(1)]);
+    harness.run_round();
+    let lease_until_ms = harness.fleet.session("w0").expect("it is known").lease_until_ms;
+    let is_heard = |harness: &mut Harness| {
+        let receipt = harness.receive_heartbeat("w0", |heartbeat| {
+            heartbeat.incarnation = 4;
+            heartbeat.running.clear();
+        });
+        harness.answer_heartbeat("w0");
+        !receipt.is_stale
+    };
+    harness.now_ms = lease_until_ms - 1;
+    assert!(!is_heard(&mut harness));
+    harness.now_ms = lease_until_ms;
+    assert!(!is_heard(&mut harness), "its run is not recorded as lost");
+    let ends = harness.fleet.pending_ends(&harness.table, 0, harness.now_ms);
+    assert_eq!(ends.len(), 1);
+    harness.apply(Command::Round(Round { ends, ..Round::default() }));
+    assert!(is_heard(&mut harness));
+    assert!(harness.run_round().round.starts.is_empty(), "it may be a late heartbeat");
+    harness.now_ms += ANSWERED_MS;
+    assert!(is_heard(&mut harness));
+    assert_eq!(harness.run_round().round.starts.len(), 1);
+}
