Mesh: a restarted daemon gets no answers to calls of its former process

Cause: an answer was sent to the link that had the caller's name by then, and was matched by the number of the call alone. Numbers start anew with each process.

Change: an answer is sent only to the incarnation that called, and completes a call only if it comes from the daemon that was called.

--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -180,13 +180,13 @@
         };
         match frame {
             Frame::Replica(message) => handler.on_replica(peer.id, message),
-            Frame::Answer { number, answer } => mesh.complete_call(number, answer),
+            Frame::Answer { number, answer } => mesh.complete_call(&peer.name, number, answer),
             Frame::Notice(notice) => handler.on_notice(&peer.name, notice),
             Frame::Call { number, call } => {
-                let (mesh, handler, from) = (mesh.clone(), handler.clone(), peer.name.clone());
+                let (mesh, handler, caller) = (mesh.clone(), handler.clone(), peer.clone());
                 tokio::spawn(async move {
-                    let answer = handler.on_call(from.clone(), call).await;
-                    mesh.send(&from, Frame::Answer { number, answer });
+                    let answer = handler.on_call(caller.name.clone(), call).await;
+                    mesh.send_answer(&caller, number, answer);
                 });
             }
         }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -190,6 +190,19 @@
         links.get(to).is_some_and(|link| link.send_queue.try_send(frame).is_ok())
     }
 
+    // Queues the answer to a call, unless the caller has restarted meanwhile: the numbers of its calls start
+    // anew, and the answer would be taken for that to a call of the new process.
+    fn send_answer(&self, caller: &Hello, number: u64, answer: Result<Answer>) {
+        let links = self.inner.links.lock();
+        let link = links.get(&caller.name);
+        let Some(link) = link.filter(|link| link.hello.incarnation == caller.incarnation) else {
+            tracing::debug!(peer = caller.name, number, "answer dropped: the caller is gone");
+            return;
+        };
+        // A full queue is that of a link which is about to be closed; the call times out.
+        let _ = link.send_queue.try_send(Frame::Answer { number, answer });
+    }
+
     /// Queues a message of the replication protocol for the member with this identity.
     pub fn send_replica(&self, to: Id, message: replica::Message) {
         let links = self.inner.links.lock();
@@ -240,9 +253,12 @@
         links.get(name).is_some_and(|link| link.last_received.silent_ms() > STALE_LINK_MS)
     }
 
-    fn complete_call(&self, number: u64, answer: Result<Answer>) {
-        let pending_call = self.inner.pending_calls.lock().remove(&number);
-        if let Some(pending_call) = pending_call {
+    fn complete_call(&self, from: &str, number: u64, answer: Result<Answer>) {
+        let mut pending_calls = self.inner.pending_calls.lock();
+        if pending_calls.get(&number).is_none_or(|pending_call| pending_call.peer != from) {
+            return;
+        }
+        if let Some(pending_call) = pending_calls.remove(&number) {
             // The caller may have timed out in the meantime.
             let _ = pending_call.answer_sender.send(answer);
         }
--- a/tests/fault_refusal.rs
+++ b/tests/fault_refusal.rs
@@ -18,11 +18,10 @@
 use eelgrassvalve::mesh::frame::{Hello, Notice, VERSION};
 use eelgrassvalve::mesh::{Handler, Mesh};
 use eelgrassvalve::replica::{Message, member::Id};
-use eelgrassvalve::settings::Settings;
 use eelgrassvalve::state::Command;
 use eelgrassvalve::verdict::Verdict;
 use rstest::rstest;
-use support::wait_until;
+use support::{daemon, wait_until};
 
 /// Time that a caller waits for its answer.
 const TIMEOUT: Duration = Duration::from_secs(4);
@@ -53,27 +52,6 @@
     fn on_link(&self, _peer: &Hello) {}
 }
 
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address")
-}
-
-fn settings(address: SocketAddr) -> Settings {
-    let path = std::env::temp_dir().join(format!(
-        "eelgrassvalve-refusal-{}-{}.toml",
-        std::process::id(),
-        address.port()
-    ));
-    let text = format!(
-        "[daemon]\nname = \"host\"\nzone = \"zone\"\n[listen]\nmesh = \"{address}\"\n\
-         [discovery]\nseeds = []\n[batch]\non = true\n[tokens]\nnone = true\n"
-    );
-    std::fs::write(&path, text).expect("the settings are written");
-    let settings = Settings::load(&path).expect("the settings are valid");
-    std::fs::remove_file(&path).expect("the settings are removed");
-    settings
-}
-
 struct Daemon {
     address: SocketAddr,
     mesh: Mesh,
@@ -82,9 +60,8 @@
 
 impl Daemon {
     async fn start(is_control: bool, responses: Vec<Response>, peers: &[SocketAddr]) -> Self {
-        let address = free_address();
-        let mut settings = settings(address);
-        settings.name = address.to_string();
+        let address = daemon::free_address();
+        let settings = daemon::settings(address);
         let hello = Hello {
             version: VERSION,
             name: settings.name.clone(),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod batch;
 pub mod cluster;
+pub mod daemon;
 pub mod history;
 pub mod hostile;
 pub mod raw;
