Fleet: a heartbeat of an unknown pool changes no worker

Change: a heartbeat whose pool neither the document nor a live job names is ignored if its worker is known in another pool, or has runs while this leader hasn't heard it. It is answered without a lease. Workers of a removed pool go on being heard. `Receipt::is_stale` is `is_ignored` now, since age is no longer the only reason.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -81,9 +81,9 @@
 /// Result of receiving a heartbeat.
 #[derive(Debug, Default, PartialEq)]
 pub struct Receipt {
-    /// Whether the heartbeat is older than one already received, or of an incarnation that left; it
-    /// is ignored then.
-    pub is_stale: bool,
+    /// Whether the heartbeat is ignored: it is older than one already received, of an incarnation that
+    /// left, or another writer's.
+    pub is_ignored: bool,
     /// Ends of runs to record.
     pub ends: Vec<End>,
 }
@@ -148,8 +148,8 @@
         });
         let has_left =
             self.departed.get(&heartbeat.worker).is_some_and(|left| heartbeat.incarnation <= *left);
-        if is_late || has_left {
-            return Receipt { is_stale: true, ends: Vec::new() };
+        if is_late || has_left || self.is_foreign(&heartbeat, table) {
+            return Receipt { is_ignored: true, ends: Vec::new() };
         }
         let lease_until_ms = now_ms + lease_bound_ms(lease_ms);
         let worker = heartbeat.worker.clone();
@@ -176,7 +176,19 @@
         session.update(heartbeat, now_ms, lease_until_ms);
         self.presumed.extend(&session.heartbeat, lease_until_ms);
         ends.iter().for_each(|end| self.pending_ends.add(end.clone()));
-        Receipt { is_stale: false, ends }
+        Receipt { is_ignored: false, ends }
+    }
+
+    // Whether a heartbeat under the name of a worker, with a pool that is not in use, is another writer's. The
+    // workers of a pool that was in use finish their work.
+    fn is_foreign(&self, heartbeat: &Heartbeat, table: &Table) -> bool {
+        if table.uses_pool(&heartbeat.pool) {
+            return false;
+        }
+        match self.session(&heartbeat.worker) {
+            Some(session) => session.heartbeat.pool != heartbeat.pool,
+            None => table.count_runs_on(&heartbeat.worker) > 0,
+        }
     }
 
     /// Records the runs that this leader is about to place. Their start orders come from this leader
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -191,6 +191,12 @@
         self.placed.keys()
     }
 
+    /// Whether the document names a pool, or a live job runs in it.
+    pub fn uses_pool(&self, pool: &str) -> bool {
+        self.document.pools.iter().any(|known| known.name == pool)
+            || self.live.values().any(|job| job.terms.pool == pool)
+    }
+
     /// Number of live jobs of a queue of which no task was ever placed.
     pub fn count_pending(&self, queue: &str) -> u64 {
         let is_pending = |job: &&Job| job.queue == queue && !job.has_started;
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -44,7 +44,7 @@
     let received_ms = control.timer.now_ms();
     let (worker, stamp) = (heartbeat.worker.clone(), heartbeat.stamp());
     let Some(receipt) = record_heartbeat(control, heartbeat, term, received_ms)? else {
-        tracing::debug!(target: DECISION, worker, "outdated heartbeat dropped");
+        tracing::debug!(target: DECISION, worker, "heartbeat ignored: outdated, or another writer's");
         return Ok(Answer::Orders(Box::default()));
     };
     let (hold_ms, wake) = (receipt.hold_ms, receipt.wake);
@@ -109,7 +109,7 @@
     wake: Arc<Notify>,
 }
 
-// Records a heartbeat; `None` if it is older than one recorded before.
+// Records a heartbeat; `None` if it is ignored.
 fn record_heartbeat(
     control: &Control,
     heartbeat: Heartbeat,
@@ -122,7 +122,7 @@
     let mut term_state = dispatch.term_state.lock();
     term_state.enter(term, control)?;
     let receipt = term_state.fleet.receive(heartbeat, &machine.batch, dispatch.lease_ms, now_ms);
-    if receipt.is_stale {
+    if receipt.is_ignored {
         return Ok(None);
     }
     term_state.record_durations(&machine.batch, &receipt.ends);
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use eelgrassvalve::batch::document::Document;
 use eelgrassvalve::batch::fleet::{Receipt, lease_bound_ms};
 use eelgrassvalve::batch::job::Id;
 use eelgrassvalve::batch::plan::find_unsatisfiable_step;
@@ -64,7 +65,7 @@
 #[rstest]
 #[case::duplicate(0, true)]
 #[case::newer(1, false)]
-fn only_newer_heartbeats_take_effect(#[case] sequence_offset: u64, #[case] is_stale: bool) {
+fn only_newer_heartbeats_take_effect(#[case] sequence_offset: u64, #[case] is_ignored: bool) {
     let mut harness = with_running_task();
     let sequence =
         harness.fleet.session("w0").expect("the worker has a session").heartbeat.sequence;
@@ -73,8 +74,8 @@
         heartbeat.running.clear();
         heartbeat.ended = vec![run_end(1, Exit::Failed)];
     });
-    assert_eq!(receipt.is_stale, is_stale);
-    assert_eq!(receipt.ends.is_empty(), is_stale);
+    assert_eq!(receipt.is_ignored, is_ignored);
+    assert_eq!(receipt.ends.is_empty(), is_ignored);
 }
 
 #[test]
@@ -85,7 +86,7 @@
         heartbeat.incarnation = 4;
         heartbeat.sequence = 1_000;
     });
-    assert!(receipt.is_stale);
+    assert!(receipt.is_ignored);
 }
 
 #[test]
@@ -110,8 +111,8 @@
     assert_eq!(lost.len(), 1);
     harness.end(task_id(1, 0, 0), 1, Exit::Lapsed);
     harness.fleet.remove_departed(harness.now_ms);
-    assert!(harness.receive_heartbeat("w0", |heartbeat| heartbeat.sequence = 1_000).is_stale);
-    assert!(!harness.receive_heartbeat("w0", |heartbeat| heartbeat.incarnation = 2).is_stale);
+    assert!(harness.receive_heartbeat("w0", |heartbeat| heartbeat.sequence = 1_000).is_ignored);
+    assert!(!harness.receive_heartbeat("w0", |heartbeat| heartbeat.incarnation = 2).is_ignored);
 }
 
 /// Guards against rerunning a completed task: a worker's last end and its leave arrive at the same
@@ -631,3 +632,46 @@
     let (utilization, step) = claim(&mut harness);
     assert!(utilization < 0.01 && step.is_none(), "it answers to this leader: {utilization}");
 }
+
+/// Guards against a heartbeat of another writer, with a pool that no configuration names, which counts as a restart
+/// of the worker: its tasks would start elsewhere while they go on.
+#[rstest]
+#[case::of_a_busy_worker("w0", true, true)]
+#[case::of_an_idle_worker("w1", true, true)]
+#[case::of_a_busy_worker_under_a_new_leader("w0", false, true)]
+#[case::of_an_unknown_worker("w9", true, false)]
+fn a_heartbeat_of_an_unknown_pool_changes_no_worker(
+    #[case] worker: &str,
+    #[case] is_leader_old: bool,
+    #[case] is_ignored: bool,
+) {
+    let mut harness = with_running_task();
+    if !is_leader_old {
+        harness.fleet = eelgrassvalve::batch::fleet::Fleet::default();
+    }
+    let receipt = harness.receive_heartbeat(worker, |heartbeat| {
+        heartbeat.pool = "print-room".into();
+        heartbeat.incarnation = 2;
+        heartbeat.running.clear();
+    });
+    assert_eq!((receipt.is_ignored, receipt.ends), (is_ignored, Vec::new()));
+    harness.answer_heartbeats_of(["w0", "w1"]);
+    let workers = harness.fleet.workers(&harness.table, harness.now_ms);
+    let of_pool = workers.iter().filter(|known| known.pool == "pool" && known.incarnation == 1);
+    assert_eq!(of_pool.count(), 2);
+    assert_eq!(harness.worker_of(task_id(1, 0, 0)), Some("w0".into()));
+}
+
+/// The workers of a pool that the configuration no longer names finish their work.
+#[test]
+fn workers_of_a_removed_pool_are_heard() {
+    let mut harness = with_running_task();
+    let document = Document { revision: 2, ..Document::default() };
+    harness.apply(Command::Publish(Box::new(document)));
+    assert!(!harness.receive_heartbeat("w0", |_| {}).is_ignored);
+    harness.fleet = eelgrassvalve::batch::fleet::Fleet::default();
+    assert!(!harness.receive_heartbeat("w0", |_| {}).is_ignored, "by a new leader too");
+    harness.apply(Command::Cancel(Id(1)));
+    assert!(!harness.receive_heartbeat("w0", |_| {}).is_ignored);
+    assert_eq!(harness.fleet.issue_orders("w0", &harness.table).stop.len(), 0);
+}
--- a/tests/fault_restart.rs
+++ b/tests/fault_restart.rs
@@ -225,7 +225,7 @@
             heartbeat.running.clear();
         });
         harness.answer_heartbeat("w0");
-        !receipt.is_stale
+        !receipt.is_ignored
     };
     harness.now_ms = lease_until_ms - 1;
     assert!(!is_heard(&mut harness));
--- a/tests/support/batch.rs
+++ b/tests/support/batch.rs
@@ -178,6 +178,14 @@
         }
     }
 
+    /// Receives and answers an unchanged heartbeat of each of these workers.
+    pub fn answer_heartbeats_of<'a>(&mut self, workers: impl IntoIterator<Item = &'a str>) {
+        for worker in workers {
+            self.receive_heartbeat(worker, |_| {});
+            self.answer_heartbeat(worker);
+        }
+    }
+
     /// Records that the latest heartbeat of a worker was answered.
     pub fn answer_heartbeat(&mut self, worker: &str) {
         let session = self.fleet.session(worker).expect("it has a session");
--- a/tests/support/takeover.rs
+++ b/tests/support/takeover.rs
@@ -347,7 +347,7 @@
         let (at, stamp) = (worker_index(&heartbeat.worker), heartbeat.stamp());
         let harness = &mut self.harness;
         let receipt = harness.fleet.receive(heartbeat, &harness.table, LEASE_MS, harness.now_ms);
-        if receipt.is_stale {
+        if receipt.is_ignored {
             return;
         }
         if self.are_restarts_enabled && self.chance(300) {
