Fleet: jobs that were placed and never began are pending

Cause: the count went by whether a task was ever placed. A placement is an order that may never arrive.

Change: the leader counts a job as begun once a heartbeat lists one of its runs other than as refused, or the table holds a result of one (`fleet::begun`). A new leader takes a placed job as begun until it has heard the worker. Orders move from fleet.rs, which had grown, to `fleet::orders`, unchanged.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -1,19 +1,21 @@
 //! The leader's view of workers: heartbeats, leases, and the health of their runs.
 
+mod begun;
 mod former;
 mod health;
+mod orders;
 mod pending;
 mod presumed;
 mod progress;
 mod session;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::estimate::Estimates;
-use super::job::{Progress, Resources, Run, TaskId};
+use super::job::{Id, Progress, Resources, Run, TaskId};
 use super::pace::Rate;
 use super::table::{self, End, Table};
-use super::worker::{Exit, Heartbeat, Orders, Stamp, Start};
+use super::worker::{Exit, Heartbeat, Stamp};
 use pending::Ends;
 pub use session::Session;
 
@@ -38,12 +40,6 @@
 /// have ended.
 const MAX_REPORTED_ENDS: usize = 500;
 
-/// Maximum size of the orders in one answer, in bytes. A worker drops an answer of more than 4 MiB, and
-/// each byte of text may take six in the answer if it has to be escaped.
-const MAX_ORDERS_BYTES: usize = 512 << 10;
-/// Size of an order without its texts, in bytes.
-const ORDER_BYTES: usize = 64;
-
 /// Time from the receipt of a heartbeat until a lease granted for it has certainly expired, in
 /// milliseconds.
 pub fn lease_bound_ms(lease_ms: u64) -> u64 {
@@ -118,6 +114,8 @@
     // the tasks may start elsewhere as soon as the ends are recorded.
     pending_ends: Ends,
     presumed: presumed::Runs,
+    // Live jobs of which a worker has reported a run that began.
+    begun: BTreeSet<Id>,
     // When every lease that an earlier leader granted has expired.
     takeover_until_ms: u64,
 }
@@ -176,6 +174,7 @@
         session.update(heartbeat, now_ms, lease_until_ms);
         self.presumed.extend(&session.heartbeat, lease_until_ms);
         ends.iter().for_each(|end| self.pending_ends.add(end.clone()));
+        self.record_begun(&worker, table);
         Receipt { is_ignored: false, ends }
     }
 
@@ -273,7 +272,8 @@
                     Some(leave) => leave.is_over(now_ms),
                     None => now_ms >= lease_until_ms,
                 };
-                if !is_lost && !(is_silent && table.has_ended_unreported(task, run)) {
+                let has_ended = is_lost || (is_silent && table.has_ended_unreported(task, run));
+                if !has_ended {
                     continue;
                 }
                 let checkpoint = session.map_or("", |known| known.checkpoint(task, run.number));
@@ -294,6 +294,7 @@
     ) -> Vec<End> {
         self.takeover_until_ms = default_lease_until_ms;
         self.pending_ends.remove_recorded(table);
+        self.begun.retain(|job| table.live.contains_key(job));
         self.presumed.remove_settled(table, now_ms);
         for end in self.lost_runs(table, default_lease_until_ms, now_ms) {
             if let Some(lease_until_ms) = self.open_lease_ms(&end, table, now_ms) {
@@ -446,108 +447,12 @@
         }
     }
 
-    /// Derives the orders for a worker from the table and the worker's latest heartbeat, and
-    /// records the starts as sent. The orders carry the term of this view: a worker ignores those of
-    /// an earlier term than the latest that it has seen. Orders that would make the answer too long
-    /// follow with the answers to the next heartbeats.
-    pub fn issue_orders(&mut self, worker: &str, table: &Table) -> Orders {
-        let mut orders = Orders { term: self.term, ..Orders::default() };
-        let Some(session) = self.sessions.get_mut(worker) else { return orders };
-        let heartbeat = &session.heartbeat;
-        let listed_runs = heartbeat.listed_runs();
-        let mut budget = OrderBudget { left: MAX_ORDERS_BYTES, is_exceeded: false };
-        for end in &heartbeat.ended {
-            // Ends are acknowledged in the order of the list, once the table has recorded them.
-            if table.accepts_end(&end.task, end.run, end.how) {
-                break;
-            }
-            orders.acknowledged = end.number;
-        }
-        for row in &heartbeat.running {
-            let active = table.active_run(&row.task).filter(|active| {
-                active.number == row.run
-                    && active.worker == *worker
-                    && active.incarnation == heartbeat.incarnation
-            });
-            let has_ended = self.pending_ends.contains(&row.task, row.run);
-            if (has_ended || active.is_none_or(|active| active.is_stopping)) && budget.take(0) {
-                orders.stop.push((row.task, row.run));
-            }
-        }
-        for (task, run) in table.runs_on(worker) {
-            if listed_runs.contains(&(*task, run.number)) || run.incarnation > heartbeat.incarnation
-            {
-                continue;
-            }
-            let is_former = run.incarnation < heartbeat.incarnation;
-            if is_former && self.pending_ends.contains(task, run.number) {
-                continue;
-            }
-            if run.is_stopping || is_former {
-                // The worker rejects the run if a start order of an earlier leader, or to an earlier
-                // incarnation, still arrives.
-                if budget.take(0) {
-                    if is_former {
-                        session.former.revoke(*task, run.number);
-                    }
-                    orders.stop.push((*task, run.number));
-                }
-                continue;
-            }
-            if heartbeat.is_draining {
-                continue;
-            }
-            let Some(job) = table.live.get(&task.job) else { continue };
-            let is_gang = job.spec.steps.get(task.step as usize).is_some_and(|step| step.is_gang);
-            let has_ended = self.pending_ends.contains(task, run.number)
-                || (is_gang && self.pending_ends.contains_step_run(task, run.number));
-            if has_ended {
-                continue;
-            }
-            let checkpoint = job.task(task).map_or("", |task| task.checkpoint.as_str());
-            if budget.take(job.spec.payload.len() + checkpoint.len()) {
-                let (payload, checkpoint) = (job.spec.payload.clone(), checkpoint.to_string());
-                orders.start.push(Start { task: *task, run: run.number, payload, checkpoint });
-            }
-        }
-        session.sent_starts = orders.start.iter().map(|start| (start.task, start.run)).collect();
-        session.has_more_orders = budget.is_exceeded;
-        orders
-    }
-
-    /// As [`Fleet::issue_orders`], for the answer to the heartbeat with this stamp; `None` if a later one was
-    /// received. The worker has given the answer up then, or restarted: the next incarnation might follow
-    /// orders that are derived from its own heartbeat, under a lease that counts from an earlier one.
-    pub fn answer(&mut self, worker: &str, stamp: Stamp, table: &Table) -> Option<Orders> {
-        let is_latest = self.session(worker).is_some_and(|known| known.heartbeat.stamp() == stamp);
-        is_latest.then(|| self.issue_orders(worker, table))
-    }
-
     /// Whether the latest answer to a worker left no room for some of its orders.
     pub fn has_more_orders(&self, worker: &str) -> bool {
         self.session(worker).is_some_and(|session| session.has_more_orders)
     }
 }
 
-/// Bytes that are left in an answer. At least one order is sent, however long it is.
-struct OrderBudget {
-    left: usize,
-    is_exceeded: bool,
-}
-
-impl OrderBudget {
-    // Takes the bytes of an order with this length of text, if they are left.
-    fn take(&mut self, text_bytes: usize) -> bool {
-        let bytes = ORDER_BYTES + text_bytes;
-        if self.is_exceeded || (bytes > self.left && self.left < MAX_ORDERS_BYTES) {
-            self.is_exceeded = true;
-            return false;
-        }
-        self.left = self.left.saturating_sub(bytes);
-        true
-    }
-}
-
 fn lapsed(task: TaskId, run: u32, checkpoint: &str) -> End {
     End { task, run, how: Exit::Lapsed, checkpoint: checkpoint.to_string() }
 }
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -438,6 +438,15 @@
         self.spec.steps[step].after.iter().all(|at| occurrence.steps[*at as usize].is_done())
     }
 
+    /// Whether a run of one of its tasks has left a result: its end, a failure or a checkpoint.
+    pub fn has_progress(&self) -> bool {
+        let is_begun =
+            |task: &Task| task.failures > 0 || task.broken_run > 0 || !task.checkpoint.is_empty();
+        let steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        let mut open_steps = steps.map(|step| step.done > 0 || step.tasks.iter().any(is_begun));
+        self.finished > 0 || open_steps.any(|has_progress| has_progress)
+    }
+
     /// The active run of a task.
     pub fn active_run(&self, id: &TaskId) -> Option<&Run> {
         let occurrence = self.occurrences.get(&id.occurrence)?;
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -197,12 +197,6 @@
             || self.live.values().any(|job| job.terms.pool == pool)
     }
 
-    /// Number of live jobs of a queue of which no task was ever placed.
-    pub fn count_pending(&self, queue: &str) -> u64 {
-        let is_pending = |job: &&Job| job.queue == queue && !job.has_started;
-        self.live.values().filter(is_pending).count() as u64
-    }
-
     /// Whether an occurrence is due that has not been opened.
     pub fn has_due_occurrence(&self, now_ms: u64) -> bool {
         self.live.values().any(|job| job.has_due_occurrence(now_ms))
--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -47,11 +47,13 @@
 }
 
 pub(super) async fn status(control: &Control, target: &Target) -> Result<Answer> {
-    control.group.read().await?;
+    let term = control.group.read_in_term().await?;
     let machine = control.machine.lock();
     let (queue, rest, _) = find_authorized_queue(&machine.batch.document, target)?;
     if rest.is_empty() {
-        return Ok(Answer::Pending(machine.batch.count_pending(&queue.name)));
+        let mut term_state = control.dispatch.term_state.lock();
+        term_state.enter(term, control)?;
+        return Ok(Answer::Pending(term_state.fleet.count_pending(&machine.batch, &queue.name)));
     }
     let Ok(id) = parse_job_id(rest) else {
         return Err(Error::not_run(Code::KeyExpired, format!("no job {rest}")));
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -6,7 +6,7 @@
 use eelgrassvalve::batch::fleet::{Receipt, lease_bound_ms};
 use eelgrassvalve::batch::job::Id;
 use eelgrassvalve::batch::plan::find_unsatisfiable_step;
-use eelgrassvalve::batch::table::Command;
+use eelgrassvalve::batch::table::{Command, Round};
 use eelgrassvalve::batch::worker::{End, Exit, Heartbeat};
 use rstest::rstest;
 use support::batch::{Harness, LEASE_MS, gang, overloaded_rate, step, task_id};
@@ -239,7 +239,7 @@
         harness.fleet.remove_departed(harness.now_ms);
     }
     let workers = harness.fleet.workers(&harness.table, harness.now_ms);
-    assert!(workers[0].is_confirmed && workers[0].is_open == !is_draining, "{workers:?}");
+    assert!(workers[0].is_confirmed && workers[0].is_open != is_draining, "{workers:?}");
 }
 
 /// A worker may be cut off right after the leave of an earlier incarnation has arrived.
@@ -675,3 +675,66 @@
     assert!(!harness.receive_heartbeat("w0", |_| {}).is_ignored);
     assert_eq!(harness.fleet.issue_orders("w0", &harness.table).stop.len(), 0);
 }
+
+/// Guards against jobs that are placed on a worker which has crashed, and so count as begun, at once and when they
+/// wait again.
+#[test]
+fn jobs_that_were_placed_and_never_begun_are_pending() {
+    let mut harness = Harness::with_workers(1);
+    for job in 1..=6 {
+        harness.submit(job, "small", vec![step(1)]);
+    }
+    let pending = |harness: &Harness| harness.fleet.count_pending(&harness.table, "small");
+    assert_eq!(harness.run_round().round.starts.len(), 6);
+    assert_eq!(pending(&harness), 6);
+    harness.now_ms += lease_bound_ms(LEASE_MS);
+    let ends = harness.fleet.pending_ends(&harness.table, 0, harness.now_ms);
+    assert_eq!(ends.len(), 6);
+    harness.apply(Command::Round(Round { ends, ..Round::default() }));
+    assert_eq!(pending(&harness), 6);
+}
+
+/// A job that has begun is no longer pending, whatever becomes of its run.
+#[rstest]
+#[case::stopped(Exit::Stopped, 0)]
+#[case::lapsed(Exit::Lapsed, 0)]
+#[case::failed(Exit::Failed, 0)]
+#[case::refused_before_it_began(Exit::Refused, 1)]
+fn a_job_that_has_begun_is_not_pending(#[case] how: Exit, #[case] expected: u64) {
+    let mut harness = Harness::with_workers(1);
+    harness.submit(1, "small", vec![step(1)]);
+    harness.run_round();
+    harness.receive_heartbeat("w0", |heartbeat| {
+        if how == Exit::Refused {
+            heartbeat.running.clear();
+        }
+    });
+    let receipt = harness.receive_heartbeat("w0", |heartbeat| {
+        heartbeat.running.clear();
+        heartbeat.ended = vec![run_end(1, how)];
+    });
+    harness.commit_ends(receipt);
+    assert_eq!(harness.fleet.count_pending(&harness.table, "small"), expected);
+}
+
+/// A new leader counts a job as begun until it has heard the worker on which it is placed.
+#[rstest]
+#[case::runs(true, 0)]
+#[case::never_began(false, 1)]
+fn a_new_leader_learns_from_heartbeats_which_jobs_have_begun(
+    #[case] is_listed: bool,
+    #[case] expected: u64,
+) {
+    let mut harness = Harness::with_workers(1);
+    harness.submit(1, "small", vec![step(1)]);
+    harness.run_round();
+    harness.fleet = eelgrassvalve::batch::fleet::Fleet::default();
+    let pending = |harness: &Harness| harness.fleet.count_pending(&harness.table, "small");
+    assert_eq!(pending(&harness), 0);
+    harness.receive_heartbeat("w0", |heartbeat| {
+        if !is_listed {
+            heartbeat.running.clear();
+        }
+    });
+    assert_eq!(pending(&harness), expected);
+}
--- a/tests/batch_table.rs
+++ b/tests/batch_table.rs
@@ -205,9 +205,9 @@
     harness.submit(1, "small", vec![step(1)]);
     harness.submit(2, "small", vec![step(1)]);
     harness.submit(3, "large", vec![step(1)]);
-    assert_eq!(harness.table.count_pending("small"), 2);
+    assert_eq!(harness.fleet.count_pending(&harness.table, "small"), 2);
     harness.start(task_id(1, 0, 0), 1, "w0");
-    assert_eq!(harness.table.count_pending("small"), 1);
+    assert_eq!(harness.fleet.count_pending(&harness.table, "small"), 1);
 }
 
 /// Pending jobs are the accepted ones of which no task has started, due or not.
@@ -219,7 +219,7 @@
     let spec = Spec { payload: "text".into(), steps: vec![step(1)], schedule };
     harness.submit_spec(1, "small", spec);
     assert!(!harness.table.has_due_occurrence(harness.now_ms));
-    assert_eq!(harness.table.count_pending("small"), 1);
+    assert_eq!(harness.fleet.count_pending(&harness.table, "small"), 1);
 }
 
 #[test]
