Plan: work of priority 0 and long-running tasks are the last to go for a guarantee

A guarantee stopped young work of priority 0 of other customers rather than old work of a lower class, whose loss weighs more.

Change: runs that yield only to a guarantee cost more than any other, so that they go only where the others make too little room.

Test: `urgent_work_of_others_is_evicted_last` with work of a lower class that has run 120 s longer; that row failed before.

--- a/src/batch/plan/evict/index.rs
+++ b/src/batch/plan/evict/index.rs
@@ -9,8 +9,11 @@
 /// capacity again.
 const STOP_COST_CORE_MS: u64 = 20_000;
 /// Cost of making a job late that would have completed on time, in core-milliseconds: about what
-/// its tasks use of a worker in ten seconds. The interruption of a long-running task costs as much.
+/// its tasks use of a worker in ten seconds.
 const LATENESS_COST_CORE_MS: u64 = 800_000;
+/// Additional cost of stopping a run that yields only to a guarantee, in core-milliseconds: more than any
+/// other work on the workers is worth, so that it is the last to go.
+const LAST_RESORT_COST_CORE_MS: u64 = 1 << 40;
 /// Progress of a long-running task that is operating, in percent.
 const OPERATING_PERCENT: u8 = 100;
 
@@ -21,7 +24,8 @@
     // Work that is lost, with the costs of stopping and lateness.
     pub(super) cost_core_ms: u64,
     priority: u32,
-    is_lasting: bool,
+    // Whether the run makes room only for a guarantee that is due.
+    is_last_resort: bool,
     // What the eviction takes from each quota that limits it: pairs of quota and amount.
     shares: Vec<(usize, u64)>,
 }
@@ -32,11 +36,10 @@
         self.shares.is_empty()
     }
 
-    /// Whether the run may be stopped for a candidate, as far as no quota limits it. Long-running tasks
-    /// and runs of the same priority make room only for a guarantee that is due.
+    /// Whether the run may be stopped for a candidate, as far as no quota limits it.
     pub(super) fn yields_to(&self, candidate: &Candidate<'_>, view: &View<'_>) -> bool {
         let is_less_urgent = self.priority > candidate.job.terms.priority;
-        (is_less_urgent && !self.is_lasting) || candidate.is_guarantee_due(view)
+        (is_less_urgent && !self.is_last_resort) || candidate.is_guarantee_due(view)
     }
 }
 
@@ -133,11 +136,13 @@
             let next = self.victims.len();
             let at = if step.is_gang { *gangs.entry(step_id).or_insert(next) } else { next };
             if at == next {
+                let is_last_resort = step.is_lasting || job.terms.priority == 0;
+                let least_cost_core_ms = if is_last_resort { LAST_RESORT_COST_CORE_MS } else { 0 };
                 self.victims.push(Victim {
                     runs: Vec::new(),
                     priority: job.terms.priority,
-                    is_lasting: step.is_lasting,
-                    cost_core_ms: lateness_cost_core_ms,
+                    is_last_resort,
+                    cost_core_ms: lateness_cost_core_ms + least_cost_core_ms,
                     shares: Vec::new(),
                 });
             }
@@ -168,7 +173,7 @@
 // Cost of stopping a run of a step, without that of making its job late.
 fn stop_cost_core_ms(view: &View<'_>, step: &Step, ran_ms: u64, rank: u32) -> u64 {
     if step.is_lasting {
-        return STOP_COST_CORE_MS + LATENESS_COST_CORE_MS;
+        return STOP_COST_CORE_MS;
     }
     let max_loss_ms = view.times.checkpoint_interval_ms + view.times.restore_ms;
     let lost_ms = if step.is_checkpointing { ran_ms.min(max_loss_ms) } else { ran_ms };
--- a/tests/load_guarantee.rs
+++ b/tests/load_guarantee.rs
@@ -173,13 +173,16 @@
     assert_eq!(cluster.count_stopped(1), 0);
 }
 
-/// Work of a lower priority goes first, also when it shares its worker with urgent work.
-#[test]
-fn urgent_work_of_others_is_evicted_last() {
+/// Work of a lower priority goes first, however much of it is lost.
+#[rstest]
+#[case::equal_loss(0)]
+#[case::larger_loss(120_000)]
+fn urgent_work_of_others_is_evicted_last(#[case] longer_ms: u64) {
     let mut cluster = Cluster::new(2, &[("owner", 8)]);
-    cluster.submit("other", 1, "urgent", Step { estimate_ms: 600_000, ..step(8) });
     cluster.submit("other", 2, "small", Step { estimate_ms: 600_000, ..step(8) });
-    cluster.run_for(5_000);
+    cluster.run_for(longer_ms);
+    cluster.submit("other", 1, "urgent", Step { estimate_ms: 600_000, ..step(8) });
+    cluster.run_for(500);
     cluster.submit("owner", CLAIM, "urgent", step(8));
     cluster.run_for(RECLAIM_MS - TICK_MS);
     assert_eq!(cluster.count_placed(CLAIM, 8), 8);
