Plan: long-running tasks that end run again before other work

Change: a step whose long-running tasks have run before and wait is considered before all but due guarantees, and doesn't wait for room near its data.

Tests: `load_lasting`, 5 of 6 rows failed before.

--- a/src/batch/plan/allocation.rs
+++ b/src/batch/plan/allocation.rs
@@ -85,7 +85,7 @@
 }
 
 fn may_ignore_locality(cluster: &Cluster<'_>, candidate: &Candidate<'_>) -> bool {
-    if candidate.is_guarantee_critical(&cluster.view) {
+    if candidate.is_guarantee_critical(&cluster.view) || candidate.is_restart {
         return true;
     }
     let utilization = cluster.utilization(&candidate.job.terms.pool);
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -58,6 +58,8 @@
     pub is_late: bool,
     /// Whether the customer's guarantee covers the job.
     pub is_guaranteed: bool,
+    /// Whether a long-running task that has run before waits. Its users miss it until it runs again.
+    pub is_restart: bool,
 }
 
 impl<'a> Candidate<'a> {
@@ -188,6 +190,7 @@
         let work = candidate.run_ms.saturating_mul(accelerators);
         (
             !candidate.is_guarantee_due(view),
+            !candidate.is_restart,
             candidate.is_expired,
             candidate.job.terms.priority,
             candidate.is_late,
@@ -249,6 +252,8 @@
     let useful_until_ms = due_ms.saturating_add(allowed_ms.saturating_mul(EXPIRY_FACTOR));
     let done_ms = view.wall_ms.saturating_add(remaining_ms);
     let avoided_workers = recently_failed_on(&progress.tasks, &tasks, view.wall_ms);
+    let has_run = |index: &u32| progress.tasks[*index as usize].runs > 0;
+    let is_restart = step.is_lasting && tasks.iter().any(has_run);
     Candidate {
         id,
         job,
@@ -263,6 +268,7 @@
         is_expired: !step.is_lasting && done_ms > useful_until_ms,
         is_late: !step.is_lasting && done_ms > deadline_ms,
         is_guaranteed: false,
+        is_restart,
     }
 }
 
