Dispatch: customers that number their jobs alike don't touch each other's

Cause: a second submission under an ID counted as a repeated one, whoever sent it; reads and cancels looked at the ID alone.

Change: such a submission is refused with `conflict` (409 at the adapter), also if both are committed at the same time. Reads and cancels with another customer's key are answered as for an unknown job. Jobs of open queues stay accessible to all.

Tests: `customers` of the adapter; the first of its two tests failed before.

--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -139,7 +139,7 @@
     /// # Errors
     /// If the job is unknown. Ended jobs are kept for a limited time, so that it may have run.
     pub fn find_job(&self, id: Id) -> Result<&Job> {
-        self.job(id).ok_or_else(|| Error::may_have_run(Code::KeyExpired, format!("no job {id}")))
+        self.job(id).ok_or_else(|| unknown_job(id))
     }
 
     /// Whether this run is the active one of its task.
@@ -328,6 +328,11 @@
     }
 }
 
+/// The error for a job that is not known. It may have run long ago.
+pub fn unknown_job(id: Id) -> Error {
+    Error::may_have_run(Code::KeyExpired, format!("no job {id}"))
+}
+
 fn remove_placement(
     placed: &mut BTreeMap<String, BTreeMap<TaskId, u32>>,
     worker: &str,
--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -7,9 +7,9 @@
 use crate::batch::call::{Answer, Target};
 use crate::batch::document::{Document, Queue};
 use crate::batch::fleet::lease_bound_ms;
-use crate::batch::job::{Id, Phase, Spec, active_runs};
+use crate::batch::job::{Id, Job, Phase, Spec, active_runs};
 use crate::batch::plan::find_unsatisfiable_step;
-use crate::batch::table::{Command as Batch, Submission, Table};
+use crate::batch::table::{self, Command as Batch, Submission, Table};
 use crate::error::{Code, Error, Result};
 use crate::telemetry::{DECISION, Metrics};
 
@@ -27,6 +27,9 @@
         let (queue, rest, customer) = find_authorized_queue(&machine.batch.document, target)?;
         let id = parse_job_id(rest)?;
         if let Some(job) = machine.batch.job(id) {
+            if !is_accessible(job, queue, &customer) {
+                return Err(id_conflict(id));
+            }
             return Ok(Answer::Phase(job.phase()));
         }
         let spec = spec.map_err(|message| Error::not_run(Code::BadRequest, message))?;
@@ -38,8 +41,13 @@
         (Submission { id, queue, customer, terms, spec }, machine.batch.document.revision)
     };
     let (id, queue) = (submission.id, submission.queue.clone());
-    let steps = submission.spec.steps.len();
+    let (customer, steps) = (submission.customer.clone(), submission.spec.steps.len());
     propose(control, Batch::Submit(Box::new(submission))).await?;
+    // Another customer's job may have been committed under the same ID meanwhile.
+    let stored_customer = control.machine.lock().batch.job(id).map(|job| job.customer.clone());
+    if stored_customer.is_some_and(|stored| stored != customer) {
+        return Err(id_conflict(id));
+    }
     tracing::info!(target: DECISION, job = %id, queue, steps, revision, "job accepted");
     Metrics::global().count_job("accepted");
     control.dispatch.round_requested.notify_one();
@@ -49,7 +57,7 @@
 pub(super) async fn status(control: &Control, target: &Target) -> Result<Answer> {
     let term = control.group.read_in_term().await?;
     let machine = control.machine.lock();
-    let (queue, rest, _) = find_authorized_queue(&machine.batch.document, target)?;
+    let (queue, rest, customer) = find_authorized_queue(&machine.batch.document, target)?;
     if rest.is_empty() {
         let mut term_state = control.dispatch.term_state.lock();
         term_state.enter(term, control)?;
@@ -58,16 +66,16 @@
     let Ok(id) = parse_job_id(rest) else {
         return Err(Error::not_run(Code::KeyExpired, format!("no job {rest}")));
     };
-    Ok(Answer::Phase(machine.batch.find_job(id)?.phase()))
+    Ok(Answer::Phase(find_accessible_job(&machine.batch, id, queue, &customer)?.phase()))
 }
 
 pub(super) async fn cancel(control: &Control, target: &Target) -> Result<Answer> {
     control.group.read().await?;
     let (id, workers) = {
         let machine = control.machine.lock();
-        let (_, rest, _) = find_authorized_queue(&machine.batch.document, target)?;
+        let (queue, rest, customer) = find_authorized_queue(&machine.batch.document, target)?;
         let id = parse_job_id(rest)?;
-        machine.batch.find_job(id)?;
+        find_accessible_job(&machine.batch, id, queue, &customer)?;
         let runs = machine.batch.live.get(&id).into_iter().flat_map(active_runs);
         let workers: BTreeSet<String> = runs.map(|(_, run)| run.worker.clone()).collect();
         (id, workers)
@@ -148,6 +156,30 @@
     }
 }
 
+// Whether a caller may see and cancel a job. Callers of an open queue, and those whose jobs came through one, need
+// no key by which they could be told apart.
+fn is_accessible(job: &Job, queue: &Queue, customer: &str) -> bool {
+    queue.is_open || job.customer.is_empty() || job.customer == customer
+}
+
+fn id_conflict(id: Id) -> Error {
+    Error::not_run(Code::Conflict, format!("another customer's job has the ID {id}"))
+}
+
+// A job of another customer is as good as none.
+fn find_accessible_job<'a>(
+    table: &'a Table,
+    id: Id,
+    queue: &Queue,
+    customer: &str,
+) -> Result<&'a Job> {
+    let job = table.find_job(id)?;
+    if !is_accessible(job, queue, customer) {
+        return Err(table::unknown_job(id));
+    }
+    Ok(job)
+}
+
 fn parse_job_id(rest: &str) -> Result<Id> {
     let id = Id::parse(rest);
     id.ok_or_else(|| Error::not_run(Code::BadRequest, "a job's name has 16 hexadecimal digits"))
