Dispatch: a repeated submission to an open queue is no conflict

The check after the commit compared customers alone. A job of an open queue may be submitted again without the key that it came with, and must not be refused then, since it is stored. The check is that of the first look now.

--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -22,12 +22,12 @@
     spec: std::result::Result<Spec, String>,
 ) -> Result<Answer> {
     control.group.read().await?;
-    let (submission, revision) = {
+    let (submission, revision, is_open) = {
         let machine = control.machine.lock();
         let (queue, rest, customer) = find_authorized_queue(&machine.batch.document, target)?;
-        let id = parse_job_id(rest)?;
+        let (id, is_open) = (parse_job_id(rest)?, queue.is_open);
         if let Some(job) = machine.batch.job(id) {
-            if !is_accessible(job, queue, &customer) {
+            if !is_accessible(job, is_open, &customer) {
                 return Err(id_conflict(id));
             }
             return Ok(Answer::Phase(job.phase()));
@@ -38,14 +38,15 @@
         }
         reject_impossible(control, &machine.batch, queue, &spec)?;
         let (queue, terms) = (queue.name.clone(), queue.terms.clone());
-        (Submission { id, queue, customer, terms, spec }, machine.batch.document.revision)
+        let submission = Submission { id, queue, customer, terms, spec };
+        (submission, machine.batch.document.revision, is_open)
     };
     let (id, queue) = (submission.id, submission.queue.clone());
     let (customer, steps) = (submission.customer.clone(), submission.spec.steps.len());
     propose(control, Batch::Submit(Box::new(submission))).await?;
     // Another customer's job may have been committed under the same ID meanwhile.
-    let stored_customer = control.machine.lock().batch.job(id).map(|job| job.customer.clone());
-    if stored_customer.is_some_and(|stored| stored != customer) {
+    let is_own = |job: &Job| is_accessible(job, is_open, &customer);
+    if !control.machine.lock().batch.job(id).is_none_or(is_own) {
         return Err(id_conflict(id));
     }
     tracing::info!(target: DECISION, job = %id, queue, steps, revision, "job accepted");
@@ -158,8 +159,8 @@
 
 // Whether a caller may see and cancel a job. Callers of an open queue, and those whose jobs came through one, need
 // no key by which they could be told apart.
-fn is_accessible(job: &Job, queue: &Queue, customer: &str) -> bool {
-    queue.is_open || job.customer.is_empty() || job.customer == customer
+fn is_accessible(job: &Job, is_queue_open: bool, customer: &str) -> bool {
+    is_queue_open || job.customer.is_empty() || job.customer == customer
 }
 
 fn id_conflict(id: Id) -> Error {
@@ -174,7 +175,7 @@
     customer: &str,
 ) -> Result<&'a Job> {
     let job = table.find_job(id)?;
-    if !is_accessible(job, queue, customer) {
+    if !is_accessible(job, queue.is_open, customer) {
         return Err(table::unknown_job(id));
     }
     Ok(job)
