Evacuate zones on the operator's order

Change: `Request::Evacuate` and `Command::Evacuate`; the set of evacuated zones is part of the replicated table, empty in that of earlier releases. Workers of such a zone are closed like draining ones: nothing is placed there, start orders that haven't arrived are no longer sent, and their runs start elsewhere once absence is certain. What runs there goes on. Repeated orders are acknowledged and change nothing. Jobs that need the zone wait and aren't refused, since its workers come back.

--- a/src/batch/call.rs
+++ b/src/batch/call.rs
@@ -4,6 +4,7 @@
 
 use super::document::Document;
 use super::job::{Phase, Spec};
+use super::table::Evacuation;
 use super::worker::{Heartbeat, Orders};
 use crate::replica::Bytes;
 use crate::replica::member::Id;
@@ -44,6 +45,8 @@
     },
     /// Puts a document into force.
     Publish(Box<Document>),
+    /// Begins or ends the evacuation of a zone.
+    Evacuate(Evacuation),
     /// Reads the document in force.
     Document,
     /// Asks any member for the names of the leader and of the members.
@@ -67,6 +70,7 @@
             Self::Beat(heartbeat) => ("heartbeat", &heartbeat.worker),
             Self::Leave { worker, .. } => ("leave", worker),
             Self::Publish(_) => ("publish", ""),
+            Self::Evacuate(evacuation) => ("evacuate", &evacuation.zone),
             Self::Document => ("document", ""),
             Self::Standing => ("standing", ""),
             Self::Join { name, .. } => ("join", name),
@@ -76,7 +80,7 @@
     /// Whether the request makes a durable change, so that it may have run even if it was not
     /// answered.
     pub fn is_durable(&self) -> bool {
-        matches!(self, Self::Submit { .. } | Self::Cancel(_) | Self::Publish(_))
+        matches!(self, Self::Submit { .. } | Self::Cancel(_) | Self::Publish(_) | Self::Evacuate(_))
     }
 }
 
--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -414,7 +414,7 @@
                 runs: table.count_runs_on(name),
                 is_confirmed: session.is_confirmed(),
                 is_open: session.is_confirmed()
-                    && !heartbeat.is_draining
+                    && !session.is_closed(table)
                     && !self.leaving.contains_key(name)
                     && silent_ms < MAX_SILENCE_FOR_WORK_MS
                     && !is_excluded,
--- a/src/batch/fleet/orders.rs
+++ b/src/batch/fleet/orders.rs
@@ -18,6 +18,7 @@
     pub fn issue_orders(&mut self, worker: &str, table: &Table) -> Orders {
         let mut orders = Orders { term: self.term, ..Orders::default() };
         let Some(session) = self.sessions.get_mut(worker) else { return orders };
+        let is_closed = session.is_closed(table);
         let heartbeat = &session.heartbeat;
         let listed_runs = heartbeat.listed_runs();
         let mut budget = OrderBudget { left: MAX_ORDERS_BYTES, is_exceeded: false };
@@ -59,7 +60,7 @@
                 }
                 continue;
             }
-            if heartbeat.is_draining {
+            if is_closed {
                 continue;
             }
             let Some(job) = table.live.get(&task.job) else { continue };
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -202,8 +202,9 @@
                 self.has_unconfirmed_runs |= !is_over;
                 continue;
             }
-            let will_start =
-                !run.is_stopping && !heartbeat.is_draining && !self.is_unheeded(task, run.number);
+            let will_start = !run.is_stopping
+                && !is_closed(heartbeat, table)
+                && !self.is_unheeded(task, run.number);
             if is_listed || will_start {
                 continue;
             }
@@ -248,6 +249,11 @@
         self.unheeded_starts.get(&(*task, run)).is_some_and(|orders| *orders >= MAX_START_ORDERS)
     }
 
+    /// Whether the worker gets no start orders, since it drains or its zone is evacuated.
+    pub fn is_closed(&self, table: &Table) -> bool {
+        is_closed(&self.heartbeat, table)
+    }
+
     /// Progress of a run in percent, if the worker has reported it.
     pub fn progress_percent(&self, task: &TaskId, run: u32) -> Option<u8> {
         let row = self.heartbeat.running.iter().find(|row| row.task == *task && row.run == run);
@@ -371,6 +377,11 @@
     }
 }
 
+// Whether the worker that sent a heartbeat gets no start orders.
+fn is_closed(heartbeat: &Heartbeat, table: &Table) -> bool {
+    heartbeat.is_draining || table.is_evacuated(&heartbeat.zone)
+}
+
 fn subtract_task(free: &mut Resources, task: &TaskId, table: &Table) {
     let step = table.job(task.job).and_then(|job| job.spec.steps.get(task.step as usize));
     if let Some(step) = step {
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -30,6 +30,17 @@
     Cancel(Id),
     /// Records which runs ended and which are to start or stop.
     Round(Round),
+    /// Begins or ends the evacuation of a zone.
+    Evacuate(Evacuation),
+}
+
+/// Order to place nothing on the workers of an availability zone, or the end of that.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// Name of the availability zone.
+    pub zone: String,
+    /// Whether the evacuation begins or goes on; it ends otherwise.
+    pub is_active: bool,
 }
 
 /// A job as the leader accepted it.
@@ -106,6 +117,9 @@
     ended_at: BTreeSet<(u64, Id)>,
     /// Active runs, by worker.
     placed: BTreeMap<String, BTreeMap<TaskId, u32>>,
+    /// Availability zones whose workers get no start orders.
+    #[serde(default)]
+    evacuated: BTreeSet<String>,
 }
 
 impl Table {
@@ -125,6 +139,12 @@
             Command::Submit(submission) => self.submit(submission, now_ms),
             Command::Cancel(id) => self.finish_job(*id, Outcome::Cancelled, now_ms),
             Command::Round(round) => self.apply_round(round, now_ms),
+            Command::Evacuate(Evacuation { zone, is_active: true }) => {
+                self.evacuated.insert(zone.clone());
+            }
+            Command::Evacuate(Evacuation { zone, is_active: false }) => {
+                self.evacuated.remove(zone);
+            }
         }
         Ok(())
     }
@@ -197,6 +217,11 @@
             || self.live.values().any(|job| job.terms.pool == pool)
     }
 
+    /// Whether the workers of an availability zone get no start orders.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuated.contains(zone)
+    }
+
     /// Whether an occurrence is due that has not been opened.
     pub fn has_due_occurrence(&self, now_ms: u64) -> bool {
         self.live.values().any(|job| job.has_due_occurrence(now_ms))
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -89,6 +89,7 @@
             heartbeat::leave(control, &worker, incarnation).await
         }
         Request::Publish(document) => caller::publish(control, document).await,
+        Request::Evacuate(evacuation) => caller::evacuate(control, evacuation).await,
         Request::Document => caller::document(control).await,
         Request::Standing => Ok(membership_answer(control)),
         Request::Join { name, id } => membership::join(control, &name, id).await,
--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -9,13 +9,16 @@
 use crate::batch::fleet::lease_bound_ms;
 use crate::batch::job::{Id, Job, Phase, Spec, active_runs};
 use crate::batch::plan::find_unsatisfiable_step;
-use crate::batch::table::{self, Command as Batch, Submission, Table};
+use crate::batch::table::{self, Command as Batch, Evacuation, Submission, Table};
 use crate::error::{Code, Error, Result};
 use crate::telemetry::{DECISION, Metrics};
 
 /// Retry delay for a job that no known worker could run: new workers are added within minutes.
 const IMPOSSIBLE_RETRY_DELAY: Duration = Duration::from_secs(60);
 
+/// Maximum length of the name of an availability zone, in bytes; names are part of the log.
+const MAX_ZONE_BYTES: usize = 256;
+
 pub(super) async fn submit(
     control: &Control,
     target: &Target,
@@ -110,6 +113,22 @@
     Ok(Answer::Done)
 }
 
+pub(super) async fn evacuate(control: &Control, evacuation: Evacuation) -> Result<Answer> {
+    let (zone, is_active) = (evacuation.zone.clone(), evacuation.is_active);
+    if zone.is_empty() || zone.len() > MAX_ZONE_BYTES {
+        let message = format!("a zone's name has 1 to {MAX_ZONE_BYTES} bytes");
+        return Err(Error::not_run(Code::BadRequest, message));
+    }
+    control.group.read().await?;
+    let was_active = control.machine.lock().batch.is_evacuated(&zone);
+    if was_active != is_active {
+        propose(control, Batch::Evacuate(evacuation)).await?;
+    }
+    tracing::info!(target: DECISION, zone, is_active, was_active, "evacuation received");
+    control.dispatch.round_requested.notify_one();
+    Ok(Answer::Done)
+}
+
 pub(super) async fn document(control: &Control) -> Result<Answer> {
     control.group.read().await?;
     let machine = control.machine.lock();
