--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -156,7 +156,7 @@
             self.leaving.remove(&worker);
             let mut session = Session::new(heartbeat.clone(), now_ms, lease_until_ms);
             if let Some(previous) = self.sessions.get(&worker) {
-                session.former.add(&previous.heartbeat, &previous.former);
+                session.former.add(&previous.heartbeat, &previous.former, table);
             }
             self.sessions.insert(worker.clone(), session);
         }
--- a/src/batch/fleet/former.rs
+++ b/src/batch/fleet/former.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::batch::job::{Run, TaskId};
+use crate::batch::table::Table;
 use crate::batch::worker::Heartbeat;
 
 /// Time on the clock of a worker after which it receives no more answers to heartbeats that it sent before it
@@ -33,12 +34,13 @@
 
     /// Adds the incarnation before the current one, with its latest heartbeat and what was known of those
     /// before it.
-    pub(super) fn add(&mut self, latest: &Heartbeat, earlier: &Self) {
+    pub(super) fn add(&mut self, latest: &Heartbeat, earlier: &Self, table: &Table) {
         self.incarnation = Some(latest.incarnation);
         self.listed.clone_from(&earlier.listed);
         for row in &latest.running {
             self.listed.insert((row.task, row.run), row.checkpoint.clone());
         }
+        self.listed.retain(|(task, run), _| table.is_run_active(task, *run));
     }
 
     /// Records that the answer to the latest heartbeat revokes the start order of a run: a worker does not
