Test of attempts: the worker lists the run before it restarts

`each_run_that_may_have_failed_counts` let a worker restart that had never listed its run, and expected that run to count as ended at once. The run had begun, since another member of the gang reports it as broken, and so its worker lists it now. The checks are as they were.

--- a/tests/fault_attempts.rs
+++ b/tests/fault_attempts.rs
@@ -132,7 +132,8 @@
     assert_eq!(plan_without_w0(&mut harness), 2);
     let restart = task_id(1, 0, 0);
     let worker = harness.worker_of(restart).expect("it is placed");
-    // The worker of the second run restarts, and the gang is placed a third time.
+    // The worker of the second run lists it and restarts, and the gang is placed a third time.
+    harness.receive_heartbeat(&worker, |_| {});
     harness.receive_heartbeat(&worker, |heartbeat| {
         heartbeat.incarnation = 2;
         heartbeat.running.clear();
