Fleet: a run that a former incarnation listed as ended has begun

Of a former incarnation, only the runs that it listed as running counted as begun; one that it listed as ended waited like one whose order is on its way. Seen in `fault_commit::a_reported_end_goes_before_an_inferred_one`.

--- a/src/batch/fleet/former.rs
+++ b/src/batch/fleet/former.rs
@@ -40,6 +40,9 @@
         for row in &latest.running {
             self.listed.insert((row.task, row.run), row.checkpoint.clone());
         }
+        for end in &latest.ended {
+            self.listed.insert((end.task, end.run), end.checkpoint.clone());
+        }
         self.listed.retain(|(task, run), _| table.is_run_active(task, *run));
     }
 
