--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -44,42 +44,24 @@
     ) -> Option<Selection> {
         let view = self.view;
         let index = self.index.get_or_insert_with(|| Index::new(&view));
-        let mut best: Option<(u64, Vec<Slot>)> = None;
-        let step = candidate.step;
-        let groups = worker_groups(cluster, candidate);
-        for members in groups {
-            let mut slots = Vec::new();
-            for at in members {
-                slots.extend(slots_on(cluster, candidate, at, index, &self.evicted));
-            }
-            let required = candidate.tasks.len();
-            if slots.len() < required {
-                continue;
-            }
-            slots.sort_by_key(|slot| slot.cost_core_ms);
-            let Some((slots, victims)) = cheapest_within_quotas(index, slots, required) else {
-                continue;
-            };
-            let cost_core_ms = victims
-                .iter()
-                .map(|at| index.victims[*at].cost_core_ms)
-                .fold(0, u64::saturating_add);
-            if best.as_ref().is_none_or(|(lowest, _)| cost_core_ms < *lowest) {
-                best = Some((cost_core_ms, slots));
+        let mut best: Option<Room> = None;
+        for members in worker_groups(cluster, candidate) {
+            let room = find_room(cluster, candidate, members, index, &self.evicted);
+            let Some(room) = room else { continue };
+            if best.as_ref().is_none_or(|lowest| room.cost_core_ms < lowest.cost_core_ms) {
+                best = Some(room);
             }
         }
-        let (cost_core_ms, best_slots) = best?;
+        let Room { slots: found, victims, cost_core_ms } = best?;
         if cost_core_ms > candidate.eviction_budget_core_ms(&view) {
             return None;
         }
+        if victims.is_empty() && candidate.step.is_gang {
+            return None;
+        }
         let mut slots = BTreeMap::new();
-        let mut victims = BTreeSet::new();
-        for slot in best_slots {
+        for slot in found {
             *slots.entry(cluster.workers[slot.worker].name.to_string()).or_insert(0) += 1;
-            victims.extend(slot.victims);
-        }
-        if victims.is_empty() && step.is_gang {
-            return None;
         }
         for victim in &victims {
             index.quotas.take(&index.victims[*victim]);
@@ -90,8 +72,38 @@
     }
 }
 
-// The first `required` slots whose victims the quotas permit, with all these victims. A gang that is evicted
-// for several slots counts once.
+/// Room for the whole step in a group of workers.
+struct Room {
+    slots: Vec<Slot>,
+    // A gang that is evicted for several slots is counted once.
+    victims: BTreeSet<usize>,
+    cost_core_ms: u64,
+}
+
+// The cheapest room for the step that a group of workers has.
+fn find_room(
+    cluster: &Cluster<'_>,
+    candidate: &Candidate<'_>,
+    members: Vec<usize>,
+    index: &Index<'_>,
+    evicted: &BTreeSet<usize>,
+) -> Option<Room> {
+    let mut slots = Vec::new();
+    for at in members {
+        slots.extend(slots_on(cluster, candidate, at, index, evicted));
+    }
+    let required = candidate.tasks.len();
+    if slots.len() < required {
+        return None;
+    }
+    slots.sort_by_key(|slot| slot.cost_core_ms);
+    let (slots, victims) = cheapest_within_quotas(index, slots, required)?;
+    let costs = victims.iter().map(|at| index.victims[*at].cost_core_ms);
+    let cost_core_ms = costs.fold(0, u64::saturating_add);
+    Some(Room { slots, victims, cost_core_ms })
+}
+
+// The first `required` slots whose victims the quotas permit, with all these victims.
 fn cheapest_within_quotas(
     index: &Index<'_>,
     slots: Vec<Slot>,
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -199,8 +199,9 @@
             tracing::debug!(peer = caller.name, number, "answer dropped: the caller is gone");
             return;
         };
-        // A full queue is that of a link which is about to be closed; the call times out.
-        let _ = link.send_queue.try_send(Frame::Answer { number, answer });
+        if let Err(error) = link.send_queue.try_send(Frame::Answer { number, answer }) {
+            tracing::debug!(peer = caller.name, number, %error, "answer dropped");
+        }
     }
 
     /// Queues a message of the replication protocol for the member with this identity.
