Fleet: runs of a former incarnation end on a worker whose clock stands still

Change: the time counts as passed also when a heartbeat follows an answer that was sent 1.1 s after the first heartbeat of the incarnation was received.

--- a/src/batch/fleet/former.rs
+++ b/src/batch/fleet/former.rs
@@ -9,8 +9,8 @@
 use crate::batch::table::Table;
 use crate::batch::worker::Heartbeat;
 
-/// Time on the clock of a worker after which it receives no more answers to heartbeats that it sent before it
-/// started, in milliseconds: an answer is dropped 1 s after its heartbeat was sent.
+/// Time after the first heartbeat of an incarnation from which on the worker receives no more answers to
+/// heartbeats of former ones, in milliseconds: an answer is dropped 1 s after its heartbeat was sent.
 const ANSWER_LIFETIME_MS: u64 = 1_100;
 
 /// What a leader knows of the earlier incarnations of a worker.
@@ -20,16 +20,18 @@
     incarnation: Option<u64>,
     // Runs that they have listed, with their latest checkpoints.
     listed: BTreeMap<(TaskId, u32), String>,
-    // Clock of the current incarnation in its first heartbeat that this leader received.
+    // Clock of the current incarnation in its first heartbeat that this leader received, and when that was.
     first_clock_ms: Option<u64>,
+    first_heard_ms: u64,
     // Runs whose start orders were revoked with the answer to the latest heartbeat.
     revoked: BTreeSet<(TaskId, u32)>,
 }
 
 impl Former {
     /// Of a worker whose current incarnation is heard for the first time.
-    pub(super) fn of_first_heartbeat(heartbeat: &Heartbeat) -> Self {
-        Self { first_clock_ms: heartbeat.clock_ms, ..Self::default() }
+    pub(super) fn of_first_heartbeat(heartbeat: &Heartbeat, now_ms: u64) -> Self {
+        let first_clock_ms = heartbeat.clock_ms;
+        Self { first_clock_ms, first_heard_ms: now_ms, ..Self::default() }
     }
 
     /// Adds the incarnation before the current one, with its latest heartbeat and what was known of those
@@ -58,13 +60,13 @@
     }
 
     /// Whether a run of an earlier incarnation that a heartbeat does not list can no longer begin on the
-    /// worker. `follows_answer` tells whether the heartbeat follows the answer to the one before.
+    /// worker. `followed_ms` is when the answer to the heartbeat before was sent, if this one follows it.
     pub(super) fn is_over(
         &self,
         task: &TaskId,
         run: &Run,
         heartbeat: &Heartbeat,
-        follows_answer: bool,
+        followed_ms: Option<u64>,
     ) -> bool {
         let key = (*task, run.number);
         // A worker has one call outstanding at a time, so that no answer to an earlier heartbeat than the one
@@ -75,13 +77,13 @@
         // After several restarts in a short time, an answer to an earlier incarnation may have been taken for
         // the one that revokes the order.
         let is_of_last_incarnation = self.incarnation == Some(run.incarnation);
-        if is_of_last_incarnation && follows_answer && self.revoked.contains(&key) {
+        if is_of_last_incarnation && followed_ms.is_some() && self.revoked.contains(&key) {
             return true;
         }
         let clocks_ms = heartbeat.clock_ms.zip(self.first_clock_ms);
-        clocks_ms.is_some_and(|(clock_ms, first_ms)| {
-            clock_ms.saturating_sub(first_ms) >= ANSWER_LIFETIME_MS
-        })
+        let by_worker_ms = clocks_ms.map_or(0, |(clock_ms, first)| clock_ms.saturating_sub(first));
+        let by_leader_ms = followed_ms.map_or(0, |at_ms| at_ms.saturating_sub(self.first_heard_ms));
+        by_worker_ms.max(by_leader_ms) >= ANSWER_LIFETIME_MS
     }
 
     /// Latest checkpoint of a run that an earlier incarnation has reported; empty if there is none.
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -63,7 +63,7 @@
 
 impl Session {
     pub(super) fn new(heartbeat: Heartbeat, now_ms: u64, lease_until_ms: u64) -> Self {
-        let former = Former::of_first_heartbeat(&heartbeat);
+        let former = Former::of_first_heartbeat(&heartbeat, now_ms);
         Self {
             heartbeat,
             last_heartbeat_ms: now_ms,
@@ -185,6 +185,7 @@
         let mut ends = Vec::new();
         let listed_runs = heartbeat.listed_runs();
         self.count_unheeded_starts(&listed_runs, table);
+        let followed_ms = self.follows_answer(heartbeat).then_some(self.answered_ms);
         self.has_unconfirmed_runs = false;
         for (task, run) in table.runs_on(&heartbeat.worker) {
             if run.incarnation > heartbeat.incarnation {
@@ -195,7 +196,7 @@
                 // The worker has restarted and lost the run, unless its next incarnation begins it.
                 let is_over = !is_listed
                     && heartbeat.ended.len() < MAX_REPORTED_ENDS
-                    && self.former.is_over(task, run, heartbeat, self.follows_answer(heartbeat));
+                    && self.former.is_over(task, run, heartbeat, followed_ms);
                 if is_over {
                     ends.push(lapsed(*task, run.number, self.former.checkpoint(task, run.number)));
                 }
--- a/tests/fault_restart.rs
+++ b/tests/fault_restart.rs
@@ -99,6 +99,19 @@
     assert_eq!(ends_after(&mut harness, 2, &[0, after_ms]), [0, expected]);
 }
 
+/// The clock of a worker may stand still. The answers that its heartbeats follow show that time passes.
+#[test]
+fn a_run_of_an_earlier_incarnation_ends_on_a_worker_whose_clock_stands_still() {
+    let mut harness = with_start_order_on_its_way();
+    harness.fleet = Fleet::of_term(2);
+    let mut ends = Vec::new();
+    for _ in 0..5 {
+        ends.extend(ends_after(&mut harness, 2, &[0]));
+        harness.now_ms += 500;
+    }
+    assert_eq!(ends, [0, 0, 0, 0, 1]);
+}
+
 /// A listed run had begun, so that no order for it is on its way. It resumes from what it has saved.
 #[rstest]
 #[case::one_restart(&[2])]
