Plan: modules for expected ends of runs and for the choice among workers with room

Cause: the parts to come on uneven workers and on tasks that disturb each other both change when a run is expected to end and which worker is taken first; until now these were lines within the reservations and the allocation. Change: plan/outlook.rs holds the expected ends, plan/preference.rs ranks workers with room.

--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -5,6 +5,8 @@
 mod allocation;
 mod candidate;
 mod evict;
+mod outlook;
+mod preference;
 mod reserve;
 
 use std::cell::OnceCell;
@@ -18,7 +20,7 @@
 use candidate::Class;
 pub use candidate::{Candidate, candidates, startable_tasks};
 use evict::Evictor;
-use reserve::Release;
+use outlook::Release;
 
 /// Age at which a pending eviction expires and its capacity is no longer held, in milliseconds. An
 /// eviction takes one heartbeat and the stop of the run.
--- a/src/batch/plan/allocation.rs
+++ b/src/batch/plan/allocation.rs
@@ -1,6 +1,6 @@
 //! Allocation of free capacity to the tasks of one step.
 
-use super::{Candidate, Cluster};
+use super::{Candidate, Cluster, preference};
 use crate::batch::fleet::Worker;
 use crate::batch::job::State;
 
@@ -172,7 +172,10 @@
         }
     }
     // Best fit: the worker with the least room comes first, which limits fragmentation.
-    slots.sort_by_key(|(at, count)| (cluster.workers[*at].free.accelerators, *count, *at));
+    slots.sort_by_cached_key(|(at, count)| {
+        let rank = preference::rank(cluster, candidate, *at);
+        (rank, cluster.workers[*at].free.accelerators, *count, *at)
+    });
     slots
 }
 
--- /dev/null
+++ b/src/batch/plan/outlook.rs
@@ -0,0 +1,65 @@
+//! When the runs on a worker are expected to end.
+
+use super::{Cluster, candidate};
+use crate::batch::job::{Job, Resources, Run, Step, TaskId};
+
+/// Progress below which a run's end is not extrapolated from it, in percent.
+const MIN_PROGRESS_PERCENT: u8 = 5;
+/// Time from a stop order until the capacity shows as free, in milliseconds: one heartbeat and the
+/// stop itself.
+const STOP_MS: u64 = 500;
+/// Minimum time until a run counts as ended, in milliseconds: its end has to be reported first.
+const END_REPORT_MS: u64 = 100;
+
+/// Resources that a run frees, and when.
+#[derive(Debug)]
+pub(super) struct Release {
+    /// Expected time of the end, on the wall clock, in milliseconds.
+    pub(super) at_ms: u64,
+    pub(super) demand: Resources,
+    pub(super) is_filler: bool,
+}
+
+/// Resources that the runs on a worker free, in the order of their expected ends.
+pub(super) fn releases_on(cluster: &Cluster<'_>, at: usize) -> Vec<Release> {
+    let view = &cluster.view;
+    let mut releases = Vec::new();
+    for (task, run) in view.table.runs_on(cluster.workers[at].name) {
+        let Some(job) = view.table.live.get(&task.job) else { continue };
+        let step = &job.spec.steps[task.step as usize];
+        if step.is_lasting {
+            continue;
+        }
+        let left_ms = left_ms(cluster, at, task, run, (job, step));
+        let at_ms = view.wall_ms.saturating_add(left_ms);
+        releases.push(Release { at_ms, demand: step.demand, is_filler: step.is_filler });
+    }
+    releases.sort_by_key(|release| release.at_ms);
+    releases
+}
+
+/// Expected time until a run ends and its end is reported, in milliseconds.
+pub(super) fn left_ms(
+    cluster: &Cluster<'_>,
+    at: usize,
+    task: &TaskId,
+    run: &Run,
+    (job, step): (&Job, &Step),
+) -> u64 {
+    let view = &cluster.view;
+    let worker = &cluster.workers[at];
+    let ran_ms = view.wall_ms.saturating_sub(run.placed_ms);
+    let session = view.fleet.session(worker.name);
+    let percent =
+        session.and_then(|session| session.progress_percent(task, run.number)).unwrap_or(0);
+    let left_ms = if run.is_stopping {
+        STOP_MS
+    } else if percent >= MIN_PROGRESS_PERCENT {
+        ran_ms.saturating_mul(u64::from(100 - percent.min(100))) / u64::from(percent)
+    } else {
+        let run_ms =
+            candidate::run_ms(view, job, step) as f64 * view.estimates.slowdown(worker.zone);
+        (run_ms as u64).saturating_sub(ran_ms)
+    };
+    left_ms.max(END_REPORT_MS)
+}
--- a/src/batch/plan/reserve.rs
+++ b/src/batch/plan/reserve.rs
@@ -3,24 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::allocation::{is_eligible, task_limit_on};
-use super::{Candidate, Cluster, worker_groups};
-use crate::batch::job::Resources;
-
-/// Progress below which a run's end is not extrapolated from it, in percent.
-const MIN_PROGRESS_PERCENT: u8 = 5;
-/// Time from a stop order until the capacity shows as free, in milliseconds: one heartbeat and the
-/// stop itself.
-const STOP_MS: u64 = 500;
-/// Minimum time until a run counts as ended, in milliseconds: its end has to be reported first.
-const END_REPORT_MS: u64 = 100;
-
-/// Resources that a run frees, and when.
-#[derive(Debug)]
-pub(super) struct Release {
-    at_ms: u64,
-    demand: Resources,
-    is_filler: bool,
-}
+use super::{Candidate, Cluster, outlook, worker_groups};
 
 /// Room for one task, and when it is expected to be free.
 struct Slot {
@@ -68,7 +51,8 @@
     let limit = task_limit_on(candidate, worker);
     let mut free = worker.free;
     let mut free_at_ms = cluster.view.wall_ms;
-    let mut releases = cluster.releases[at].get_or_init(|| releases_on(cluster, at)).iter();
+    let mut releases =
+        cluster.releases[at].get_or_init(|| outlook::releases_on(cluster, at)).iter();
     let mut slots = Vec::new();
     while (slots.len() as u64) < limit {
         if free.count_fitting(&step.demand, step.is_filler) > 0 {
@@ -82,34 +66,3 @@
     }
     slots
 }
-
-// Resources that the runs on a worker free, in the order of their expected ends.
-fn releases_on(cluster: &Cluster<'_>, at: usize) -> Vec<Release> {
-    let view = &cluster.view;
-    let worker = &cluster.workers[at];
-    let session = view.fleet.session(worker.name);
-    let slowdown = view.estimates.slowdown(worker.zone);
-    let mut releases = Vec::new();
-    for (task, run) in view.table.runs_on(worker.name) {
-        let Some(job) = view.table.live.get(&task.job) else { continue };
-        let step = &job.spec.steps[task.step as usize];
-        if step.is_lasting {
-            continue;
-        }
-        let ran_ms = view.wall_ms.saturating_sub(run.placed_ms);
-        let percent =
-            session.and_then(|session| session.progress_percent(task, run.number)).unwrap_or(0);
-        let left_ms = if run.is_stopping {
-            STOP_MS
-        } else if percent >= MIN_PROGRESS_PERCENT {
-            ran_ms.saturating_mul(u64::from(100 - percent.min(100))) / u64::from(percent)
-        } else {
-            let run_ms = super::candidate::run_ms(view, job, step) as f64 * slowdown;
-            (run_ms as u64).saturating_sub(ran_ms)
-        };
-        let at_ms = view.wall_ms.saturating_add(left_ms.max(END_REPORT_MS));
-        releases.push(Release { at_ms, demand: step.demand, is_filler: step.is_filler });
-    }
-    releases.sort_by_key(|release| release.at_ms);
-    releases
-}
