Speed of workers and run times by customer, learned from the pace of runs

Only the speed of zones was learned, from ends, and used for the expected end of runs alone. A run over its expected time was expected to end at once, and run times were learned by queue only.

Speeds are now learned by zone, rack and worker (batch::speed), from the progress of runs, against other runs of their step and against chance. Run times are learned by queue and by (queue, image, customer).

A worker's own speed: view.estimates.slowdown_at(&worker.location()), with Worker::location and Heartbeat::location; in a decision cluster.slowdown(at). Expected run time of a kind of task: estimates.task_ms(&Kind::of(job, step)). A run's own pace: session.left_ms(task, run).

--- a/src/batch/estimate.rs
+++ b/src/batch/estimate.rs
@@ -1,7 +1,9 @@
-//! Estimates learned from finished runs: run times by queue and declared run time, and the relative
-//! speed of zones.
+//! Estimates learned from runs: run times by what tasks are and what they declare, and the relative
+//! speed of workers.
 
-use std::collections::BTreeMap;
+use super::bounded::Bounded;
+use super::job::{Id, Job, Step};
+use super::speed::{Location, Mean, Speeds};
 
 /// Factor by which the weight of earlier samples decays with each new one: the estimate rests on
 /// about the last fifty runs.
@@ -16,8 +18,16 @@
 const PRIOR_SLOPE: f64 = 0.5;
 /// Weight of the prior slope, as a sum of squared deviations of logarithms: that of about ten runs.
 const PRIOR_SLOPE_WEIGHT: f64 = 0.5;
-/// Weight, in runs, of the prior assumption that a zone is as fast as the others.
-const ZONE_PRIOR_WEIGHT: f64 = 5.0;
+/// Weight, in runs, of what is known of a queue in the estimate for one customer's tasks of an
+/// image.
+const QUEUE_WEIGHT: f64 = 10.0;
+/// Weight of a run in the speed of its worker if no other run of its step has been measured, so that
+/// a slow worker can't be told from a long task.
+const LONE_RUN_WEIGHT: f64 = 0.2;
+/// Most queues, and most customers' images in them, whose run times are kept.
+const MAX_KINDS: usize = 4_096;
+/// Most steps whose measured runs are compared with each other.
+const MAX_STEPS: usize = 4_096;
 
 /// A finished run that did all its work near its data, without resuming from a checkpoint.
 #[derive(Clone, Copy, Debug)]
@@ -32,68 +42,144 @@
     pub took_ms: u64,
 }
 
-/// Learned run times by queue, and speeds of zones.
+/// What a task is, as far as its run time may depend on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Kind<'a> {
+    /// Queue of its job.
+    pub queue: &'a str,
+    /// Image that it runs.
+    pub image: &'a str,
+    /// Customer that submitted its job.
+    pub customer: &'a str,
+    /// Declared run time, in milliseconds; 0 if none was given.
+    pub declared_ms: u64,
+}
+
+impl<'a> Kind<'a> {
+    /// Kind of a step's tasks.
+    pub fn of(job: &'a Job, step: &'a Step) -> Self {
+        Self {
+            queue: &job.queue,
+            image: &step.image,
+            customer: &job.customer,
+            declared_ms: step.estimate_ms,
+        }
+    }
+}
+
+/// Learned run times and speeds.
 #[derive(Debug, Default)]
 pub struct Estimates {
-    by_queue: BTreeMap<String, Regression>,
-    by_zone: BTreeMap<String, Mean>,
+    by_queue: Bounded<String, Regression, MAX_KINDS>,
+    by_customer: Bounded<String, Regression, MAX_KINDS>,
+    // Mean deviation of the measured runs of a step from what was expected, speed taken out.
+    by_step: Bounded<(Id, u32), Mean, MAX_STEPS>,
+    speeds: Speeds,
 }
 
 impl Estimates {
-    /// Updates the estimates with a run.
+    /// Updates the estimates with a run of which little is known.
     pub fn learn(&mut self, sample: &Sample<'_>) {
-        let log_took = ln_ms(sample.took_ms);
-        let zone_offset = self.zone_offset(sample.zone);
-        let regression = self.by_queue.entry(sample.queue.to_string()).or_default();
-        // Zone speed is factored out, so the regression holds for workers of average speed.
-        regression.add(
-            (sample.declared_ms > 0).then(|| ln_ms(sample.declared_ms)),
-            log_took - zone_offset,
-        );
-        let log_expected = regression.predict(sample.declared_ms);
-        self.by_zone.entry(sample.zone.to_string()).or_default().add(log_took - log_expected);
+        let kind = Kind { queue: sample.queue, declared_ms: sample.declared_ms, ..Kind::default() };
+        let location = Location { zone: sample.zone, ..Location::default() };
+        self.learn_run_time(&kind, &location, sample.took_ms);
+        let deviation = ln_ms(sample.took_ms) - self.ln_expected_ms(&kind);
+        self.speeds.learn(&location, deviation, 1.0);
     }
 
-    /// Expected run time of a task on a worker of average speed, in milliseconds.
-    pub fn run_ms(&self, queue: &str, declared_ms: u64) -> u64 {
-        let learned =
-            self.by_queue.get(queue).filter(|regression| regression.took.weight >= MIN_WEIGHT);
-        match learned {
-            Some(regression) => regression.predict(declared_ms).exp() as u64,
-            None if declared_ms > 0 => declared_ms,
-            None => DEFAULT_RUN_MS,
+    /// Updates the run times with a finished run that did all its work near its data, without
+    /// resuming from a checkpoint. `took_ms` is the time from its placement to its end.
+    pub fn learn_run_time(&mut self, kind: &Kind<'_>, location: &Location<'_>, took_ms: u64) {
+        // Speed is factored out, so the regressions hold for workers of average speed.
+        let took = ln_ms(took_ms) - self.speeds.offset(location);
+        let declared = (kind.declared_ms > 0).then(|| ln_ms(kind.declared_ms));
+        self.by_queue.update(kind.queue).add(declared, took);
+        if let Some(key) = customer_key(kind) {
+            self.by_customer.update(&key).add(declared, took);
         }
     }
 
+    /// Updates the speeds with the pace of a run near its data. `whole_ms` is the time that the whole
+    /// work of its task takes at this pace, `step` the step of its job.
+    pub fn learn_pace(
+        &mut self,
+        kind: &Kind<'_>,
+        step: (Id, u32),
+        location: &Location<'_>,
+        whole_ms: u64,
+    ) {
+        let deviation = ln_ms(whole_ms) - self.ln_expected_ms(kind);
+        // Tasks of a step are alike, so that comparing them with each other takes their length out.
+        let siblings = self.by_step.get(&step).copied().unwrap_or_default();
+        let weight = if siblings.weight > 0.0 { 1.0 } else { LONE_RUN_WEIGHT };
+        self.speeds.learn(location, deviation - siblings.mean, weight);
+        let own_length = deviation - self.speeds.offset(location);
+        self.by_step.update(&step).add(own_length, 1.0, DECAY);
+    }
+
+    /// Expected run time of a queue's tasks on a worker of average speed, in milliseconds.
+    pub fn run_ms(&self, queue: &str, declared_ms: u64) -> u64 {
+        self.task_ms(&Kind { queue, declared_ms, ..Kind::default() })
+    }
+
+    /// Expected run time of a task on a worker of average speed, in milliseconds.
+    pub fn task_ms(&self, kind: &Kind<'_>) -> u64 {
+        self.ln_expected_ms(kind).exp().round() as u64
+    }
+
     /// Factor by which runs take longer than average on the workers of a zone.
     pub fn slowdown(&self, zone: &str) -> f64 {
-        self.zone_offset(zone).exp()
+        self.slowdown_at(&Location { zone, ..Location::default() })
     }
 
-    // Mean deviation of the logarithm of run times in a zone, shrunk towards 0 while there are few
-    // samples.
-    fn zone_offset(&self, zone: &str) -> f64 {
-        let Some(mean) = self.by_zone.get(zone) else { return 0.0 };
-        mean.mean * mean.weight / (mean.weight + ZONE_PRIOR_WEIGHT)
+    /// Factor by which runs take longer than average at a location: 1 where nothing has shown a
+    /// difference.
+    pub fn slowdown_at(&self, location: &Location<'_>) -> f64 {
+        self.speeds.offset(location).exp()
     }
-}
 
-fn ln_ms(ms: u64) -> f64 {
-    (ms.max(1) as f64).ln()
+    /// Number of queues, customers' images and steps whose run times are kept.
+    pub fn len(&self) -> usize {
+        self.by_queue.len() + self.by_customer.len() + self.by_step.len()
+    }
+
+    /// Whether nothing has been learned of any run time.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Learned speeds.
+    pub fn speeds(&self) -> &Speeds {
+        &self.speeds
+    }
+
+    // Logarithm of the expected run time: what is known of the queue, and of the customer's tasks of
+    // this image as far as there are samples.
+    fn ln_expected_ms(&self, kind: &Kind<'_>) -> f64 {
+        let of_queue = self.by_queue.get(kind.queue);
+        let learned = of_queue.filter(|regression| regression.took.weight >= MIN_WEIGHT);
+        let Some(of_queue) = learned else {
+            let declared_ms = if kind.declared_ms > 0 { kind.declared_ms } else { DEFAULT_RUN_MS };
+            return ln_ms(declared_ms);
+        };
+        let slope = of_queue.slope(PRIOR_SLOPE);
+        let expected = of_queue.predict(kind.declared_ms, slope);
+        let of_customer = customer_key(kind).and_then(|key| self.by_customer.get(&key));
+        let Some(of_customer) = of_customer else { return expected };
+        let own = of_customer.predict(kind.declared_ms, of_customer.slope(slope));
+        let weight = of_customer.took.weight;
+        (own * weight + expected * QUEUE_WEIGHT) / (weight + QUEUE_WEIGHT)
+    }
 }
 
-/// Exponentially weighted moving mean.
-#[derive(Clone, Copy, Debug, Default)]
-struct Mean {
-    weight: f64,
-    mean: f64,
+// Key of one customer's tasks of an image in a queue.
+fn customer_key(kind: &Kind<'_>) -> Option<String> {
+    let is_known = !kind.customer.is_empty() || !kind.image.is_empty();
+    is_known.then(|| [kind.queue, kind.image, kind.customer].join("\n"))
 }
 
-impl Mean {
-    fn add(&mut self, value: f64) {
-        self.weight = self.weight * DECAY + 1.0;
-        self.mean += (value - self.mean) / self.weight;
-    }
+fn ln_ms(ms: u64) -> f64 {
+    (ms.max(1) as f64).ln()
 }
 
 /// Linear regression of the logarithm of run times on the logarithm of declared run times, with
@@ -111,10 +197,10 @@
 impl Regression {
     fn add(&mut self, declared: Option<f64>, took: f64) {
         let previous_mean = self.took.mean;
-        self.took.add(took);
+        self.took.add(took, 1.0, DECAY);
         let Some(declared) = declared else { return };
         let deviation = declared - self.declared.mean;
-        self.declared.add(declared);
+        self.declared.add(declared, 1.0, DECAY);
         if self.declared.weight <= 1.0 {
             return;
         }
@@ -123,13 +209,18 @@
             self.products * DECAY + (took - previous_mean) * (declared - self.declared.mean);
     }
 
+    // Share of a declared run time's deviation from the mean that is real.
+    fn slope(&self, prior: f64) -> f64 {
+        let slope =
+            (self.products + prior * PRIOR_SLOPE_WEIGHT) / (self.squares + PRIOR_SLOPE_WEIGHT);
+        slope.clamp(0.0, 1.0)
+    }
+
     // Predicted logarithm of the run time.
-    fn predict(&self, declared_ms: u64) -> f64 {
+    fn predict(&self, declared_ms: u64, slope: f64) -> f64 {
         if declared_ms == 0 || self.declared.weight < MIN_WEIGHT {
             return self.took.mean;
         }
-        let slope = (self.products + PRIOR_SLOPE * PRIOR_SLOPE_WEIGHT)
-            / (self.squares + PRIOR_SLOPE_WEIGHT);
-        self.took.mean + slope.clamp(0.0, 1.0) * (ln_ms(declared_ms) - self.declared.mean)
+        self.took.mean + slope * (ln_ms(declared_ms) - self.declared.mean)
     }
 }
--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -15,6 +15,7 @@
 use super::estimate::Estimates;
 use super::job::{Id, Progress, Resources, TaskId};
 use super::pace::Rate;
+use super::speed::Location;
 use super::table::{self, End, Table};
 use super::worker::{Exit, Heartbeat, Stamp};
 use leave::Leave;
@@ -70,6 +71,13 @@
     pub is_open: bool,
 }
 
+impl<'a> Worker<'a> {
+    /// Where the worker is.
+    pub fn location(&self) -> Location<'a> {
+        Location { zone: self.zone, rack: self.rack, worker: self.name }
+    }
+}
+
 /// Result of receiving a heartbeat.
 #[derive(Debug, Default, PartialEq)]
 pub struct Receipt {
@@ -193,6 +201,13 @@
         self.sessions.get(worker)
     }
 
+    /// Updates the estimates with the runs of a worker whose pace its latest heartbeat has shown.
+    pub fn learn_paces(&mut self, worker: &str, table: &Table, estimates: &mut Estimates) {
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.learn_paces(table, estimates);
+        }
+    }
+
     /// Returns the ends of runs whose workers' leases have expired, or that left, and of gangs' runs on
     /// silent workers that must have ended there. The leases of workers that have sent this leader no
     /// heartbeat expire at `default_lease_until_ms`.
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -9,7 +9,7 @@
 use super::health::Health;
 use super::progress::Progress;
 use super::{CLOCK_DRIFT_DIVISOR, MAX_REPORTED_ENDS, lapsed};
-use crate::batch::estimate::Estimates;
+use crate::batch::estimate::{Estimates, Kind};
 use crate::batch::job::{Resources, TaskId};
 use crate::batch::table::{End, Table};
 use crate::batch::worker::{Exit, Heartbeat, Stamp};
@@ -311,10 +311,34 @@
     ) -> u64 {
         let Some(job) = table.live.get(&task.job) else { return 0 };
         let Some(step) = job.spec.steps.get(task.step as usize) else { return 0 };
-        let run_ms = estimates.run_ms(&job.queue, step.estimate_ms) as f64;
+        let run_ms = estimates.task_ms(&Kind::of(job, step)) as f64;
         let is_remote = !step.data_rack.is_empty() && step.data_rack != self.heartbeat.rack;
         let factor = if is_remote { remote_factor } else { 1 };
-        ((run_ms * estimates.slowdown(&self.heartbeat.zone)) as u64).saturating_mul(factor)
+        let slowdown = estimates.slowdown_at(&self.heartbeat.location());
+        ((run_ms * slowdown) as u64).saturating_mul(factor)
+    }
+
+    // Updates the estimates with the runs whose pace has become known.
+    pub(super) fn learn_paces(&mut self, table: &Table, estimates: &mut Estimates) {
+        for ((task, _), progress) in &mut self.progress {
+            let Some(job) = table.live.get(&task.job) else { continue };
+            let Some(step) = job.spec.steps.get(task.step as usize) else { continue };
+            let is_remote = !step.data_rack.is_empty() && step.data_rack != self.heartbeat.rack;
+            // Fillers work at the pace that other tasks leave them.
+            if is_remote || step.is_filler {
+                continue;
+            }
+            let Some(whole_ms) = progress.take_whole_ms() else { continue };
+            let kind = Kind::of(job, step);
+            let location = self.heartbeat.location();
+            estimates.learn_pace(&kind, (task.job, task.step), &location, whole_ms);
+        }
+    }
+
+    /// Expected time until a run ends by its own pace, from the latest heartbeat on, in milliseconds;
+    /// `None` until its pace is known.
+    pub fn left_ms(&self, task: &TaskId, run: u32) -> Option<u64> {
+        self.progress.get(&(*task, run))?.left_ms()
     }
 
     pub(super) fn checkpoint(&self, task: &TaskId, run: u32) -> &str {
@@ -350,7 +374,7 @@
             }
             let previous = self.progress.get(&key).copied();
             let mut current = previous.unwrap_or_else(|| Progress::new(row.percent, now_ms));
-            current.update(row.percent, now_ms);
+            current.update(row.percent, now_ms, heartbeat.clock_ms);
             progress.insert(key, current);
         }
         self.progress = progress;
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -4,6 +4,7 @@
 //! and from the heartbeats that it receives. This module reads no clock and does no I/O.
 
 pub mod balance;
+mod bounded;
 pub mod call;
 pub mod document;
 pub mod estimate;
@@ -11,6 +12,7 @@
 pub mod job;
 pub mod pace;
 pub mod plan;
+pub mod speed;
 pub mod table;
 pub mod worker;
 
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -128,6 +128,8 @@
     utilization: BTreeMap<&'a str, f64>,
     // What the runs on each worker are expected to free; worked out when it is first needed.
     releases: Vec<OnceCell<Vec<Release>>>,
+    // How much longer than on average runs take on each worker, as a factor; looked up on first use.
+    slowdowns: Vec<OnceCell<f64>>,
 }
 
 impl<'a> Cluster<'a> {
@@ -151,7 +153,14 @@
         let share = |(free, total): (u64, u64)| 1.0 - free as f64 / total.max(1) as f64;
         let utilization = sums.into_iter().map(|(pool, sum)| (pool, share(sum))).collect();
         let releases = workers.iter().map(|_| OnceCell::new()).collect();
-        Self { view, workers, racks, utilization, releases }
+        let slowdowns = workers.iter().map(|_| OnceCell::new()).collect();
+        Self { view, workers, racks, utilization, releases, slowdowns }
+    }
+
+    // Factor by which runs take longer than average on a worker.
+    fn slowdown(&self, worker: usize) -> f64 {
+        let location = self.workers[worker].location();
+        *self.slowdowns[worker].get_or_init(|| self.view.estimates.slowdown_at(&location))
     }
 
     // Share of a pool's accelerators (or cores, if it has none) that is in use.
--- a/src/batch/plan/allocation.rs
+++ b/src/batch/plan/allocation.rs
@@ -52,7 +52,7 @@
     let pool = &candidate.job.terms.pool;
     if !step.data_rack.is_empty() {
         let near = free_slots_in_rack(cluster, candidate, &step.data_rack);
-        let slots = distribute(candidate, near);
+        let slots = distribute(cluster, candidate, near);
         if !slots.is_empty() {
             return Allocation { slots, reason: "near its data" };
         }
@@ -81,7 +81,8 @@
         }
         all.extend(free_slots(cluster, candidate, members));
     }
-    Allocation { slots: distribute(candidate, all), reason: "where there is room" }
+    all.sort_by_cached_key(|(at, _)| preference::rank(cluster, candidate, *at));
+    Allocation { slots: distribute(cluster, candidate, all), reason: "where there is room" }
 }
 
 fn may_ignore_locality(cluster: &Cluster<'_>, candidate: &Candidate<'_>) -> bool {
@@ -109,10 +110,11 @@
     free_slots(cluster, candidate, members)
 }
 
-// Best fit: the rack with the fewest free slots that holds the whole step, so that racks with more
-// room stay available for larger steps.
+// Best fit: of the racks whose workers the step prefers, the one with the fewest free slots that holds
+// the whole step, so that racks with more room stay available for larger steps.
 fn find_in_best_rack(cluster: &Cluster<'_>, candidate: &Candidate<'_>) -> Vec<(usize, u64)> {
-    let mut best: Option<(u64, Vec<(usize, u64)>)> = None;
+    let mut best = None;
+    let mut best_rank = (u64::MAX, u64::MAX);
     for (key, members) in &cluster.racks {
         if key.0 != candidate.job.terms.pool {
             continue;
@@ -122,11 +124,14 @@
         if total < candidate.progress.tasks.len() as u64 {
             continue;
         }
-        if best.as_ref().is_none_or(|(fewest, _)| total < *fewest) {
-            best = Some((total, slots));
+        let last = slots.last();
+        let rank = last.map_or(0, |(at, _)| preference::rank(cluster, candidate, *at));
+        if (rank, total) < best_rank {
+            best_rank = (rank, total);
+            best = Some(slots);
         }
     }
-    best.map(|(_, slots)| distribute(candidate, slots)).unwrap_or_default()
+    best.map(|slots| distribute(cluster, candidate, slots)).unwrap_or_default()
 }
 
 /// Whether the pool could hold the step if it were empty: all tasks of a gang, or one task of any
@@ -207,12 +212,18 @@
 }
 
 // Assigns the waiting tasks to slots in order; returns nothing if a gang does not fit as a whole.
-fn distribute(candidate: &Candidate<'_>, slots: Vec<(usize, u64)>) -> Vec<(usize, u64)> {
+fn distribute(
+    cluster: &Cluster<'_>,
+    candidate: &Candidate<'_>,
+    slots: Vec<(usize, u64)>,
+) -> Vec<(usize, u64)> {
     let mut left = candidate.tasks.len() as u64;
     let total = slots.iter().map(|(_, count)| *count).fold(0, u64::saturating_add);
     if candidate.step.is_gang && total < left {
         return Vec::new();
     }
+    let slots =
+        if candidate.step.is_gang { preference::alike_slots(cluster, slots, left) } else { slots };
     let mut used = Vec::new();
     for (at, count) in slots {
         let count = count.min(left);
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{Explanation, StepId, View};
+use crate::batch::estimate::Kind;
 use crate::batch::fleet::Fleet;
 use crate::batch::job::{Job, Occurrence, Progress, Step, Task, TaskId};
 
@@ -286,7 +287,7 @@
 
 /// Expected run time of a step's tasks, in milliseconds.
 pub fn run_ms(view: &View<'_>, job: &Job, step: &Step) -> u64 {
-    view.estimates.run_ms(&job.queue, step.estimate_ms)
+    view.estimates.task_ms(&Kind::of(job, step))
 }
 
 /// Time after the due time within which a job should complete, in milliseconds.
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::job::TaskId;
+use super::speed::Location;
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq, Serialize, Deserialize)]
@@ -136,6 +137,11 @@
         Stamp { incarnation: self.incarnation, sequence: self.sequence }
     }
 
+    /// Where the worker is.
+    pub fn location(&self) -> Location<'_> {
+        Location { zone: &self.zone, rack: &self.rack, worker: &self.worker }
+    }
+
     /// Runs that the heartbeat lists, as running or as ended.
     pub fn listed_runs(&self) -> BTreeSet<(TaskId, u32)> {
         let running = self.running.iter().map(|row| (row.task, row.run));
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -14,7 +14,7 @@
 use super::{COMMIT_TIMEOUT, Control};
 use crate::batch::balance::Balancer;
 use crate::batch::call::{Answer, Request};
-use crate::batch::estimate::{Estimates, Sample};
+use crate::batch::estimate::{Estimates, Kind};
 use crate::batch::fleet::Fleet;
 use crate::batch::pace::Rate;
 use crate::batch::plan::{Planner, Times};
@@ -25,7 +25,7 @@
 use crate::kernel::timer::wall_ms;
 use crate::settings::Settings;
 use crate::state::Command;
-use crate::telemetry::Metrics;
+use crate::telemetry::{DECISION, Metrics};
 
 /// State of batch dispatch that is kept in memory only.
 pub(super) struct Dispatch {
@@ -154,12 +154,26 @@
             if !task.checkpoint.is_empty() || is_data_remote || step.is_lasting {
                 continue;
             }
-            self.estimates.learn(&Sample {
-                queue: &job.queue,
-                zone: &heartbeat.zone,
-                declared_ms: step.estimate_ms,
-                took_ms: wall_ms().saturating_sub(run.placed_ms),
-            });
+            let took_ms = wall_ms().saturating_sub(run.placed_ms);
+            self.estimates.learn_run_time(&Kind::of(job, step), &heartbeat.location(), took_ms);
+        }
+    }
+
+    fn record_paces(&mut self, table: &Jobs, worker: &str) {
+        let was_even = self.estimates.speeds().is_even();
+        let spreads_before = self.estimates.speeds().spreads();
+        self.fleet.learn_paces(worker, table, &mut self.estimates);
+        let is_even = self.estimates.speeds().is_even();
+        let spreads = self.estimates.speeds().spreads();
+        if spreads == spreads_before && is_even == was_even {
+            return;
+        }
+        let [zones, racks, workers] = spreads;
+        for (level, spread) in [("zone", zones), ("rack", racks), ("worker", workers)] {
+            Metrics::global().set_speed_spread(level, spread);
+        }
+        if is_even != was_even {
+            tracing::info!(target: DECISION, is_even, zones, racks, workers, "speed of workers");
         }
     }
 }
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -126,6 +126,7 @@
         return Ok(None);
     }
     term_state.record_durations(&machine.batch, &receipt.ends);
+    term_state.record_paces(&machine.batch, &worker);
     let orders = term_state.fleet.issue_orders(&worker, &machine.batch);
     let has_orders = !orders.start.is_empty() || !orders.stop.is_empty();
     let Some(session) = term_state.fleet.session(&worker) else { return Ok(None) };
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -82,6 +82,7 @@
     refusals: Counter<u64>,
     log_lines_dropped: Counter<u64>,
     steps_waiting: Gauge<u64>,
+    speed_spread: Gauge<f64>,
     first_start: Histogram<f64>,
     completion: Histogram<f64>,
     commit_time: Histogram<f64>,
@@ -119,6 +120,7 @@
             refusals: meter.u64_counter("eelgrassvalve_batch_refusals").build(),
             log_lines_dropped: meter.u64_counter("eelgrassvalve_log_lines_dropped").build(),
             steps_waiting: meter.u64_gauge("eelgrassvalve_batch_steps_waiting").build(),
+            speed_spread: meter.f64_gauge("eelgrassvalve_batch_speed_spread").build(),
             first_start: meter.f64_histogram("eelgrassvalve_batch_first_start_seconds").build(),
             completion: meter.f64_histogram("eelgrassvalve_batch_completion_seconds").build(),
             commit_time: meter.f64_histogram("eelgrassvalve_commit_seconds").build(),
@@ -192,6 +194,12 @@
         self.steps_waiting.record(count, &[]);
     }
 
+    /// Sets the standard deviation of the logarithms of learned speeds between zones, racks or
+    /// workers.
+    pub fn set_speed_spread(&self, level: &'static str, spread: f64) {
+        self.speed_spread.record(spread, &[KeyValue::new("level", level)]);
+    }
+
     /// Records the time from a job's acceptance to its first start, in seconds.
     pub fn record_first_start(&self, seconds: f64) {
         self.first_start.record(seconds, &[]);
