Batch: tasks that slow each other down are placed apart, and tasks that fill are paced

Cause: placement knew nothing of what tasks do to each other on one worker, and tasks that fill worked on beside tasks over their latency target.

Change: batch::interference learns from ends of runs and from latencies how far an image is slowed down beside another one; plan::preference counts that as expected extra time among workers with room, and nothing waits for it. batch::throttle sets the pace of tasks that fill a worker by the latency of those beside them; answers to heartbeats carry it (Orders::rates, 'rate' on the platform). A run below full pace is neither stuck nor a measure of run times. Settings batch.pace_ms and batch.impact_ms.

--- a/src/batch/estimate.rs
+++ b/src/batch/estimate.rs
@@ -3,6 +3,8 @@
 
 use std::collections::BTreeMap;
 
+use super::interference::Interference;
+
 /// Factor by which the weight of earlier samples decays with each new one: the estimate rests on
 /// about the last fifty runs.
 const DECAY: f64 = 0.98;
@@ -35,6 +37,8 @@
 /// Learned run times by queue, and speeds of zones.
 #[derive(Debug, Default)]
 pub struct Estimates {
+    /// How far tasks slow each other down.
+    pub interference: Interference,
     by_queue: BTreeMap<String, Regression>,
     by_zone: BTreeMap<String, Mean>,
 }
--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -9,6 +9,7 @@
 mod presumed;
 mod progress;
 mod session;
+mod throttling;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -16,6 +17,7 @@
 use super::job::{Id, Progress, Resources, TaskId};
 use super::pace::Rate;
 use super::table::{self, End, Table};
+use super::throttle;
 use super::worker::{Exit, Heartbeat, Stamp};
 use leave::Leave;
 use pending::Ends;
@@ -99,6 +101,7 @@
     begun: BTreeSet<Id>,
     // When every lease that an earlier leader granted has expired.
     takeover_until_ms: u64,
+    throttle_times: throttle::Times,
 }
 
 impl Fleet {
@@ -107,6 +110,12 @@
         Self { term, ..Self::default() }
     }
 
+    /// Sets the timing by which tasks that fill workers are paced.
+    #[must_use]
+    pub fn with_throttle_times(self, throttle_times: throttle::Times) -> Self {
+        Self { throttle_times, ..self }
+    }
+
     /// Term of the leader whose view this is.
     pub fn term(&self) -> u64 {
         self.term
@@ -136,6 +145,7 @@
             // The announced leave was that of an earlier incarnation.
             self.leaving.remove(&worker);
             let mut session = Session::new(heartbeat.clone(), now_ms, lease_until_ms);
+            session.resume_pace(table, now_ms);
             if let Some(previous) = self.sessions.get(&worker) {
                 session.former.add(&previous.heartbeat, &previous.former, table);
             }
@@ -153,6 +163,7 @@
         let ends = session.ends_in(&heartbeat, table);
         session.update_health(&heartbeat, &ends, table, now_ms);
         session.update(heartbeat, now_ms, lease_until_ms);
+        session.update_throttle(table, self.throttle_times, now_ms);
         self.presumed.extend(&session.heartbeat, lease_until_ms);
         ends.iter().for_each(|end| self.pending_ends.add(end.clone()));
         self.record_begun(&worker, table);
@@ -193,6 +204,11 @@
         self.sessions.get(worker)
     }
 
+    /// As [`Fleet::session`], to be changed.
+    pub fn session_mut(&mut self, worker: &str) -> Option<&mut Session> {
+        self.sessions.get_mut(worker)
+    }
+
     /// Returns the ends of runs whose workers' leases have expired, or that left, and of gangs' runs on
     /// silent workers that must have ended there. The leases of workers that have sent this leader no
     /// heartbeat expire at `default_lease_until_ms`.
@@ -363,10 +379,11 @@
 
     /// Shortest interval between heartbeats of a worker, in milliseconds, at a rate for the whole fleet.
     /// The end of a run is still reported at once, and a worker that is unconfirmed, or has
-    /// unconfirmed runs, is not slowed down.
+    /// unconfirmed runs or tasks near their latency target, is not slowed down.
     pub fn min_heartbeat_interval_ms(&self, worker: &str, rate: Rate) -> u64 {
-        let may_be_slowed =
-            |session: &Session| session.is_confirmed() && !session.has_unconfirmed_runs;
+        let may_be_slowed = |session: &Session| {
+            session.is_confirmed() && !session.has_unconfirmed_runs && !session.is_strained()
+        };
         if self.session(worker).is_some_and(|session| !may_be_slowed(session)) {
             return 0;
         }
--- a/src/batch/fleet/orders.rs
+++ b/src/batch/fleet/orders.rs
@@ -1,8 +1,10 @@
 //! Orders for workers, derived from the table and from their latest heartbeats.
 
 use super::Fleet;
+use super::throttling::step_of;
+use crate::batch::job::TaskId;
 use crate::batch::table::Table;
-use crate::batch::worker::{Orders, Stamp, Start};
+use crate::batch::worker::{Orders, Rate, Stamp, Start};
 
 /// Maximum size of the orders in one answer, in bytes. A worker drops an answer of more than 4 MiB, and
 /// each byte of text may take six in the answer if it has to be escaped.
@@ -36,9 +38,14 @@
                     && active.incarnation == heartbeat.incarnation
             });
             let has_ended = self.pending_ends.contains(&row.task, row.run);
-            if (has_ended || active.is_none_or(|active| active.is_stopping)) && budget.take(0) {
+            let must_stop = has_ended || active.is_none_or(|active| active.is_stopping);
+            if must_stop && budget.take(0) {
                 orders.stop.push((row.task, row.run));
             }
+            if !must_stop && is_filler(table, &row.task) && budget.take(0) {
+                let percent = session.throttle.percent();
+                orders.rates.push(Rate { task: row.task, run: row.run, percent });
+            }
         }
         for (task, run) in table.runs_on(worker) {
             if listed_runs.contains(&(*task, run.number)) || run.incarnation > heartbeat.incarnation
@@ -74,6 +81,10 @@
             if budget.take(job.spec.payload.len() + checkpoint.len()) {
                 let (payload, checkpoint) = (job.spec.payload.clone(), checkpoint.to_string());
                 orders.start.push(Start { task: *task, run: run.number, payload, checkpoint });
+                if is_filler(table, task) {
+                    let percent = session.throttle.percent();
+                    orders.rates.push(Rate { task: *task, run: run.number, percent });
+                }
             }
         }
         session.sent_starts = orders.start.iter().map(|start| (start.task, start.run)).collect();
@@ -90,6 +101,10 @@
     }
 }
 
+fn is_filler(table: &Table, task: &TaskId) -> bool {
+    step_of(table, task).is_some_and(|step| step.is_filler)
+}
+
 /// Bytes that are left in an answer. At least one order is sent, however long it is.
 struct OrderBudget {
     left: usize,
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -8,10 +8,12 @@
 use super::former::Former;
 use super::health::Health;
 use super::progress::Progress;
+use super::throttling::step_of;
 use super::{CLOCK_DRIFT_DIVISOR, MAX_REPORTED_ENDS, lapsed};
 use crate::batch::estimate::Estimates;
 use crate::batch::job::{Resources, TaskId};
 use crate::batch::table::{End, Table};
+use crate::batch::throttle::{FULL_PERCENT, Throttle};
 use crate::batch::worker::{Exit, Heartbeat, Stamp};
 
 /// Time before a worker leaves at which its runs are stopped, in milliseconds: one round and one
@@ -59,6 +61,13 @@
     pub(super) progress: BTreeMap<(TaskId, u32), Progress>,
     pub(super) health: Health,
     pub(super) former: Former,
+    pub(super) throttle: Throttle,
+    // Runs in progress that were slowed down at some time.
+    pub(super) paced_runs: BTreeSet<(TaskId, u32)>,
+    pub(super) has_new_pace: bool,
+    // Whether the latest heartbeat holds latencies, and when such ones were last learned from.
+    pub(super) is_serving: bool,
+    pub(super) latency_turn_ms: u64,
 }
 
 impl Session {
@@ -80,6 +89,11 @@
             progress: BTreeMap::new(),
             health: Health::default(),
             former,
+            throttle: Throttle::full(now_ms),
+            paced_runs: BTreeSet::new(),
+            has_new_pace: false,
+            is_serving: false,
+            latency_turn_ms: 0,
         }
     }
 
@@ -301,8 +315,9 @@
         next_ms
     }
 
-    // Expected time for a whole run of a task on this worker, in milliseconds.
-    pub(super) fn expected_run_ms(
+    /// Expected time for a whole run of a task on this worker, in milliseconds. Runs away from their data
+    /// take `remote_factor` times as long.
+    pub fn expected_run_ms(
         &self,
         task: &TaskId,
         table: &Table,
@@ -341,11 +356,12 @@
         let mut progress = BTreeMap::new();
         for row in &heartbeat.running {
             let key = (row.task, row.run);
-            let is_lasting = table.live.get(&row.task.job).is_some_and(|job| {
-                job.spec.steps.get(row.task.step as usize).is_some_and(|step| step.is_lasting)
-            });
+            let step = step_of(table, &row.task);
+            let is_lasting = step.is_some_and(|step| step.is_lasting);
+            let is_paced =
+                self.throttle.percent() < FULL_PERCENT && step.is_some_and(|step| step.is_filler);
             // A task of a gang that has done its share waits for the others and is not stuck.
-            if is_lasting || row.percent >= 100 {
+            if is_lasting || is_paced || row.percent >= 100 {
                 continue;
             }
             let previous = self.progress.get(&key).copied();
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -8,10 +8,12 @@
 pub mod document;
 pub mod estimate;
 pub mod fleet;
+pub mod interference;
 pub mod job;
 pub mod pace;
 pub mod plan;
 pub mod table;
+pub mod throttle;
 pub mod worker;
 
 /// Result of a batch operation.
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -21,6 +21,7 @@
 pub use candidate::{Candidate, candidates, startable_tasks};
 use evict::Evictor;
 use outlook::Release;
+use preference::Neighbours;
 
 /// Age at which a pending eviction expires and its capacity is no longer held, in milliseconds. An
 /// eviction takes one heartbeat and the stop of the run.
@@ -128,6 +129,7 @@
     utilization: BTreeMap<&'a str, f64>,
     // What the runs on each worker are expected to free; worked out when it is first needed.
     releases: Vec<OnceCell<Vec<Release>>>,
+    neighbours: Neighbours,
 }
 
 impl<'a> Cluster<'a> {
@@ -151,7 +153,8 @@
         let share = |(free, total): (u64, u64)| 1.0 - free as f64 / total.max(1) as f64;
         let utilization = sums.into_iter().map(|(pool, sum)| (pool, share(sum))).collect();
         let releases = workers.iter().map(|_| OnceCell::new()).collect();
-        Self { view, workers, racks, utilization, releases }
+        let neighbours = Neighbours::new(&view, workers.len());
+        Self { view, workers, racks, utilization, releases, neighbours }
     }
 
     // Share of a pool's accelerators (or cores, if it has none) that is in use.
@@ -379,6 +382,7 @@
     let mut tasks = candidate.tasks.iter();
     for (at, count) in &allocation.slots {
         cluster.allocate(*at, &candidate.step.demand, candidate.step.is_filler, *count);
+        cluster.neighbours.add(*at, &cluster.view, candidate);
         let worker = &cluster.workers[*at];
         for index in tasks.by_ref().take(*count as usize) {
             let task = TaskId { job, occurrence, step, index: *index };
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::job::TaskId;
+use super::job::{Step, TaskId};
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,6 +48,13 @@
     pub gauge: u64,
 }
 
+impl Run {
+    /// Whether the run, a task of this step, serves users now, so that its gauge is a latency.
+    pub fn is_serving(&self, step: &Step) -> bool {
+        step.is_lasting && step.target_ms > 0 && self.percent >= 100 && self.gauge > 0
+    }
+}
+
 /// A run that ended on a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct End {
@@ -156,6 +163,18 @@
     pub checkpoint: String,
 }
 
+/// Pace of a run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rate {
+    /// Task that the run belongs to.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u32,
+    /// Share of its usual pace at which the run works, in percent. A run begins at 100 and keeps its
+    /// pace until it gets another one.
+    pub percent: u8,
+}
+
 /// Answer to a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Orders {
@@ -169,6 +188,9 @@
     pub start: Vec<Start>,
     /// Runs to stop.
     pub stop: Vec<(TaskId, u32)>,
+    /// Pace of runs that fill the worker.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rates: Vec<Rate>,
     /// Time to wait before the next heartbeat, in milliseconds.
     pub next_ms: u64,
     /// Name of the daemon that further heartbeats should be sent to.
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -4,6 +4,7 @@
 mod heartbeat;
 pub(super) mod lag;
 pub(super) mod membership;
+mod neighbour;
 pub(super) mod round;
 
 use std::sync::atomic::AtomicU64;
@@ -19,6 +20,7 @@
 use crate::batch::pace::Rate;
 use crate::batch::plan::{Planner, Times};
 use crate::batch::table::{Command as Batch, End, MAX_ROUND_BYTES, Round, Table as Jobs};
+use crate::batch::throttle;
 use crate::batch::worker::Exit;
 use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Mutex, Rank};
@@ -37,6 +39,7 @@
     load_logged_at_ms: AtomicU64,
     heartbeat_rate: Mutex<Rate>,
     times: Times,
+    throttle_times: throttle::Times,
     lease_ms: u64,
     tolerated_losses: usize,
 }
@@ -59,6 +62,7 @@
             load_logged_at_ms: AtomicU64::new(0),
             heartbeat_rate: Mutex::new(Rank::HeartbeatRate, Rate::default()),
             times: settings.batch.times,
+            throttle_times: settings.batch.throttle_times,
             lease_ms: settings.times.worker_lease_ms,
             tolerated_losses: settings.batch.tolerated_losses,
         }
@@ -134,7 +138,8 @@
         }
         if self.fleet.term() != term {
             let estimates = std::mem::take(&mut self.estimates);
-            *self = Self { fleet: Fleet::of_term(term), estimates, ..Self::default() };
+            let fleet = Fleet::of_term(term).with_throttle_times(control.dispatch.throttle_times);
+            *self = Self { fleet, estimates, ..Self::default() };
         }
         Ok(())
     }
@@ -151,7 +156,8 @@
             let step = &job.spec.steps[end.task.step as usize];
             let heartbeat = &session.heartbeat;
             let is_data_remote = !step.data_rack.is_empty() && step.data_rack != heartbeat.rack;
-            if !task.checkpoint.is_empty() || is_data_remote || step.is_lasting {
+            let was_paced = session.was_paced(&end.task, end.run);
+            if !task.checkpoint.is_empty() || is_data_remote || step.is_lasting || was_paced {
                 continue;
             }
             self.estimates.learn(&Sample {
--- a/src/control/dispatch/heartbeat.rs
+++ b/src/control/dispatch/heartbeat.rs
@@ -125,10 +125,16 @@
     if receipt.is_ignored {
         return Ok(None);
     }
+    term_state.record_neighbours(&machine.batch, &worker, &receipt.ends, control);
     term_state.record_durations(&machine.batch, &receipt.ends);
     let orders = term_state.fleet.issue_orders(&worker, &machine.batch);
-    let has_orders = !orders.start.is_empty() || !orders.stop.is_empty();
     let Some(session) = term_state.fleet.session(&worker) else { return Ok(None) };
+    if session.has_new_pace() {
+        let percent = session.filler_percent();
+        tracing::info!(target: DECISION, worker, percent, "pace of tasks that fill a worker changed");
+        Metrics::global().count_pace_change();
+    }
+    let has_orders = !orders.start.is_empty() || !orders.stop.is_empty() || session.has_new_pace();
     if session.is_about_to_leave(now_ms) {
         dispatch.round_requested.notify_one();
     }
--- a/src/settings/batch.rs
+++ b/src/settings/batch.rs
@@ -4,6 +4,7 @@
 
 use super::reader::Reader;
 use crate::batch::plan::Times;
+use crate::batch::throttle;
 
 /// Batch scheduling on this daemon.
 #[derive(Clone, Debug)]
@@ -18,6 +19,8 @@
     pub is_bootstrap: bool,
     /// Time estimates used by placement.
     pub times: Times,
+    /// Timing by which tasks that fill workers are paced.
+    pub throttle_times: throttle::Times,
 }
 
 impl Batch {
@@ -36,6 +39,10 @@
                 restore_ms: reader.number("batch.restore_ms", 500, 0, 60_000),
                 reclaim_ms: reader.number("batch.reclaim_ms", 6_000, 100, 600_000),
             },
+            throttle_times: throttle::Times {
+                pace_ms: reader.number("batch.pace_ms", 100, 0, 60_000),
+                impact_ms: reader.number("batch.impact_ms", 4_000, 100, 600_000),
+            },
         }
     }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -82,6 +82,8 @@
     refusals: Counter<u64>,
     log_lines_dropped: Counter<u64>,
     steps_waiting: Gauge<u64>,
+    interfering_pairs: Gauge<u64>,
+    pace_changes: Counter<u64>,
     first_start: Histogram<f64>,
     completion: Histogram<f64>,
     commit_time: Histogram<f64>,
@@ -119,6 +121,8 @@
             refusals: meter.u64_counter("eelgrassvalve_batch_refusals").build(),
             log_lines_dropped: meter.u64_counter("eelgrassvalve_log_lines_dropped").build(),
             steps_waiting: meter.u64_gauge("eelgrassvalve_batch_steps_waiting").build(),
+            interfering_pairs: meter.u64_gauge("eelgrassvalve_batch_interfering_pairs").build(),
+            pace_changes: meter.u64_counter("eelgrassvalve_batch_pace_changes").build(),
             first_start: meter.f64_histogram("eelgrassvalve_batch_first_start_seconds").build(),
             completion: meter.f64_histogram("eelgrassvalve_batch_completion_seconds").build(),
             commit_time: meter.f64_histogram("eelgrassvalve_commit_seconds").build(),
@@ -187,6 +191,16 @@
         self.log_lines_dropped.add(count, &[]);
     }
 
+    /// Sets the number of pairs of images of which one slows the other down.
+    pub fn set_interfering_pairs(&self, pairs: u64) {
+        self.interfering_pairs.record(pairs, &[]);
+    }
+
+    /// Counts a change of the pace of the tasks that fill a worker.
+    pub fn count_pace_change(&self) {
+        self.pace_changes.add(1, &[]);
+    }
+
     /// Sets the number of steps that wait for placement.
     pub fn set_steps_waiting(&self, count: u64) {
         self.steps_waiting.record(count, &[]);
