Merge the speed of workers and the interference of tasks

Both change the choice among workers with room: plan/preference.rs adds their costs, plan/neighbour.rs holds the runs beside a task.

--- a/src/batch/estimate.rs
+++ b/src/batch/estimate.rs
@@ -2,6 +2,7 @@
 //! speed of workers.
 
 use super::bounded::Bounded;
+use super::interference::Interference;
 use super::job::{Id, Job, Step};
 use super::speed::{Location, Mean, Speeds};
 
@@ -70,6 +71,8 @@
 /// Learned run times and speeds.
 #[derive(Debug, Default)]
 pub struct Estimates {
+    /// How far tasks slow each other down.
+    pub interference: Interference,
     by_queue: Bounded<String, Regression, MAX_KINDS>,
     by_customer: Bounded<String, Regression, MAX_KINDS>,
     // Mean deviation of the measured runs of a step from what was expected, speed taken out.
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -5,6 +5,7 @@
 mod allocation;
 mod candidate;
 mod evict;
+mod neighbour;
 mod outlook;
 mod preference;
 mod reserve;
@@ -20,6 +21,7 @@
 use candidate::Class;
 pub use candidate::{Candidate, candidates, startable_tasks};
 use evict::Evictor;
+use neighbour::Neighbours;
 use outlook::Release;
 
 /// Age at which a pending eviction expires and its capacity is no longer held, in milliseconds. An
@@ -130,6 +132,7 @@
     releases: Vec<OnceCell<Vec<Release>>>,
     // How much longer than on average runs take on each worker, as a factor; looked up on first use.
     slowdowns: Vec<OnceCell<f64>>,
+    neighbours: Neighbours,
 }
 
 impl<'a> Cluster<'a> {
@@ -154,7 +157,8 @@
         let utilization = sums.into_iter().map(|(pool, sum)| (pool, share(sum))).collect();
         let releases = workers.iter().map(|_| OnceCell::new()).collect();
         let slowdowns = workers.iter().map(|_| OnceCell::new()).collect();
-        Self { view, workers, racks, utilization, releases, slowdowns }
+        let neighbours = Neighbours::new(&view, workers.len());
+        Self { view, workers, racks, utilization, releases, slowdowns, neighbours }
     }
 
     // Factor by which runs take longer than average on a worker.
@@ -388,6 +392,7 @@
     let mut tasks = candidate.tasks.iter();
     for (at, count) in &allocation.slots {
         cluster.allocate(*at, &candidate.step.demand, candidate.step.is_filler, *count);
+        cluster.neighbours.add(*at, &cluster.view, candidate);
         let worker = &cluster.workers[*at];
         for index in tasks.by_ref().take(*count as usize) {
             let task = TaskId { job, occurrence, step, index: *index };
--- a/src/batch/plan/preference.rs
+++ b/src/batch/plan/preference.rs
@@ -1,6 +1,6 @@
 //! Which of the workers with room a step prefers.
 
-use super::{Candidate, Cluster};
+use super::{Candidate, Cluster, neighbour};
 
 /// Differences in expected run time below this are ignored, in milliseconds, so that they don't
 /// prevent the best fit.
@@ -46,6 +46,7 @@
 // Cost of a worker for a task of the step as a difference in run time, in milliseconds.
 fn extra_ms(cluster: &Cluster<'_>, candidate: &Candidate<'_>, worker: usize) -> u64 {
     speed_ms(cluster, candidate, worker)
+        .saturating_add(neighbour::extra_ms(cluster, candidate, worker))
 }
 
 // Urgent work prefers fast workers. Other work leaves them to it and prefers the slowest one on which
