Memory of clients: one budget for the connections of a process

Change: a third of the new limits.memory_mb is for what open connections hold, over all listeners of a process: 12 KiB each, heads beyond 8 KiB, bodies as they arrive (copied into one buffer), responses until they are read. Half of it is for connections and the first 16 KiB of each request. When it is full, the client that holds most loses the connection whose last progress is oldest; a request that was read in full is not broken off. Health checks and metrics have connections of their own.

--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -14,7 +14,7 @@
 use volo_http::server::route::Router;
 
 use super::{Entry, caller, health, http as shared, operator, platform};
-use crate::listener::{Handler, Limits, serve_handler};
+use crate::listener::{Budget, Handler, Limits, Listener};
 
 /// Maximum concurrent connections of one listener, with headroom above 10,000 callers.
 const MAX_CONNECTIONS: usize = 16_000;
@@ -31,17 +31,20 @@
         ..Limits::default()
     };
     let listeners = [
-        (listen.callers, caller::router(&entry)),
-        (listen.operators, operator::router(&entry)),
-        (listen.platform, platform::router(&entry)),
-        (listen.health, health::router(&entry)),
+        ("callers", listen.callers, caller::router(&entry)),
+        ("operators", listen.operators, operator::router(&entry)),
+        ("platform", listen.platform, platform::router(&entry)),
+        ("health", listen.health, health::router(&entry)),
     ];
+    let budget = Budget::new(entry.settings.limits.buffer_bytes());
+    tokio::spawn(budget.clone().report_periodically());
     let mut running = JoinSet::new();
-    for (address, router) in listeners {
+    for (name, address, router) in listeners {
         let handler = Arc::new(Adapter { address, router: router.fallback(shared::not_found) });
+        let listener = Listener::new(address, limits).name(name).budget(budget.clone());
         let drained = drained.clone();
         running.spawn(async move {
-            let result = serve_handler(address, limits, handler, drained).await;
+            let result = listener.serve_handler(handler, drained).await;
             result.map_err(|e| miette::miette!("listener {address}: {e}"))
         });
     }
--- a/src/kernel/lock.rs
+++ b/src/kernel/lock.rs
@@ -40,6 +40,8 @@
     Calls,
     /// Last known leader, members and seeds, as a client of the control members sees them.
     Leader,
+    /// Memory held by connections.
+    Memory,
 }
 
 thread_local! {
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -1,5 +1,10 @@
 //! An HTTP/1.1 listener that limits heads, bodies and connections, and that completes the requests
-//! in progress before it stops.
+//! in progress before it stops. The memory that its connections hold comes from a budget.
+
+mod budget;
+pub mod ledger;
+mod parts;
+mod stream;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,16 +12,26 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{mpsc, oneshot, watch};
+
+pub use budget::Budget;
+use budget::Lease;
+use stream::Stream;
 
 /// Delay before accepting again after a failure, such as running out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time for a request that was refused, to make room, to be answered before its connection is closed.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Delay after which a client that was refused for lack of memory may try again, in seconds.
+const RETRY_AFTER_S: &str = "1";
+/// Budget of a listener that shares none.
+const DEFAULT_BUDGET_BYTES: usize = 64 << 20;
 
 /// Limits of a listener.
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +65,12 @@
 pub trait Service: Send + Sync + 'static {
     /// Answers one request.
     fn answer(&self, request: Request<Bytes>) -> impl Future<Output = Response<Bytes>> + Send;
+
+    /// Maximum size of the body of a request for this path, in bytes, where it is below the limit of
+    /// the listener.
+    fn max_body_bytes(&self, _path: &str) -> usize {
+        usize::MAX
+    }
 }
 
 /// Answers requests whose bodies have not been read yet; the handler limits the bodies itself.
@@ -81,7 +102,8 @@
     }
 }
 
-/// Serves until the stop signal is set and every request in progress is answered.
+/// Serves until the stop signal is set and every request in progress is answered, with a budget of
+/// its own.
 ///
 /// # Errors
 /// If the address can't be bound.
@@ -91,45 +113,90 @@
     service: Arc<S>,
     stop: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
-    serve_handler(address, limits, Arc::new(Adapter { service, limits }), stop).await
+    Listener::new(address, limits).serve(service, stop).await
 }
 
-/// As [`serve`], for a handler.
-///
-/// # Errors
-/// If the address can't be bound.
-pub async fn serve_handler<H: Handler>(
+/// A listener that is not bound yet.
+#[derive(Debug)]
+pub struct Listener {
     address: SocketAddr,
     limits: Limits,
-    handler: Arc<H>,
-    stop: watch::Receiver<bool>,
-) -> std::io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
-    let permits = Arc::new(Semaphore::new(limits.max_connections));
-    let mut stopping = stop.clone();
-    loop {
-        let accepted = tokio::select! {
-            result = listener.accept() => result,
-            () = wait_for_stop(&mut stopping) => break,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        let Ok(permit) = permits.clone().try_acquire_owned() else {
-            tracing::warn!(%address, "connection closed: the limit of open connections is reached");
-            continue;
-        };
-        let (handler, stop) = (handler.clone(), stop.clone());
-        tokio::spawn(async move {
-            serve_connection(stream, limits, handler, stop).await;
-            drop(permit);
-        });
+    name: &'static str,
+    budget: Budget,
+}
+
+impl Listener {
+    /// Creates a listener with a budget of its own.
+    pub fn new(address: SocketAddr, limits: Limits) -> Self {
+        Self { address, limits, name: "http", budget: Budget::new(DEFAULT_BUDGET_BYTES) }
+    }
+
+    /// Sets the name that logs and metrics use.
+    #[must_use]
+    pub fn name(mut self, name: &'static str) -> Self {
+        self.name = name;
+        self
+    }
+
+    /// Sets the budget, which the listeners of a process share.
+    #[must_use]
+    pub fn budget(mut self, budget: Budget) -> Self {
+        self.budget = budget;
+        self
+    }
+
+    /// Serves until the stop signal is set and every request in progress is answered.
+    ///
+    /// # Errors
+    /// If the address can't be bound.
+    pub async fn serve<S: Service>(
+        self,
+        service: Arc<S>,
+        stop: watch::Receiver<bool>,
+    ) -> std::io::Result<()> {
+        let limits = self.limits;
+        self.serve_handler(Arc::new(Adapter { service, limits }), stop).await
+    }
+
+    /// As [`Listener::serve`], for a handler.
+    ///
+    /// # Errors
+    /// If the address can't be bound.
+    pub async fn serve_handler<H: Handler>(
+        self,
+        handler: Arc<H>,
+        stop: watch::Receiver<bool>,
+    ) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.address).await?;
+        let id = self.budget.add_listener(self.name, self.limits.max_connections);
+        // Every connection holds a sender until its last request is answered.
+        let (open_sender, mut open_receiver) = mpsc::channel::<()>(1);
+        let mut stopping = stop.clone();
+        loop {
+            let accepted = tokio::select! {
+                result = listener.accept() => result,
+                () = wait_for_stop(&mut stopping) => break,
+            };
+            let Ok((stream, peer)) = accepted else {
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
+            let Ok((lease, evicted)) = self.budget.open(id, peer.ip()) else {
+                let address = self.address;
+                tracing::warn!(%address, "connection closed: the limit of open connections is reached");
+                continue;
+            };
+            let (handler, stop, open) = (handler.clone(), stop.clone(), open_sender.clone());
+            let limits = self.limits;
+            tokio::spawn(async move {
+                serve_connection(stream, limits, handler, lease, evicted, stop).await;
+                drop(open);
+            });
+        }
+        drop((listener, open_sender));
+        let _ = open_receiver.recv().await;
+        Ok(())
     }
-    drop(listener);
-    // Every connection releases its permit once its last request is answered.
-    let _ = permits.acquire_many(limits.max_connections as u32).await;
-    Ok(())
 }
 
 async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
@@ -141,18 +208,26 @@
     stream: TcpStream,
     limits: Limits,
     handler: Arc<H>,
+    lease: Arc<Lease>,
+    evicted: oneshot::Receiver<()>,
     mut stop: watch::Receiver<bool>,
 ) {
     // Responses are small, so Nagle's algorithm would only delay them.
     let _ = stream.set_nodelay(true);
+    let stream = TokioIo::new(Stream::new(stream, lease.clone()));
     let is_stopping = stop.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
-        let (handler, is_stopping) = (handler.clone(), is_stopping.clone());
+    let request_lease = lease.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        let (handler, lease) = (handler.clone(), request_lease.clone());
+        let is_stopping = is_stopping.clone();
         async move {
+            lease.yield_to_evicted().await;
+            lease.begin();
+            request.extensions_mut().insert(lease.clone());
             let mut response = handler.handle(request).await;
+            lease.end(response.body().size_hint().lower() as usize);
             if *is_stopping.borrow() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
+                close_after(&mut response);
             }
             Ok::<_, std::convert::Infallible>(response)
         }
@@ -164,17 +239,28 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(stream, service);
     tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = wait_for_stop(&mut stop) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let serve = async {
+        let result = tokio::select! {
+            result = connection.as_mut() => result,
+            () = wait_for_stop(&mut stop) => {
+                connection.as_mut().graceful_shutdown();
+                connection.as_mut().await
+            }
+        };
+        if let Err(error) = result {
+            tracing::debug!(%error, "connection closed with an error");
         }
     };
-    if let Err(error) = result {
-        tracing::debug!(%error, "connection closed with an error");
+    tokio::pin!(serve);
+    tokio::select! {
+        () = serve.as_mut() => {}
+        _ = evicted => {
+            if lease.refuse() {
+                let _ = tokio::time::timeout(REFUSAL_TIMEOUT, serve).await;
+            }
+        }
     }
 }
 
@@ -183,20 +269,66 @@
     limits: Limits,
     request: Request<Incoming>,
 ) -> Response<Bytes> {
-    let (head, body) = request.into_parts();
-    if body.size_hint().lower() > limits.max_body_bytes as u64 {
-        return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
+    let (mut head, body) = request.into_parts();
+    let Some(lease) = head.extensions.remove::<Arc<Lease>>() else {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let max_bytes = limits.max_body_bytes.min(service.max_body_bytes(head.uri.path()));
+    if body.size_hint().lower() > max_bytes as u64 {
+        return refuse(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let collect_body = Limited::new(body, limits.max_body_bytes).collect();
-    let bytes = match tokio::time::timeout(limits.body_timeout, collect_body).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        Ok(Err(_)) => return empty_response(StatusCode::BAD_REQUEST),
-        Err(_) => return empty_response(StatusCode::REQUEST_TIMEOUT),
+    if body.is_end_stream() {
+        return service.answer(Request::from_parts(head, Bytes::new())).await;
+    }
+    lease.begin_body();
+    let read = tokio::select! {
+        read = tokio::time::timeout(limits.body_timeout, read_body(&lease, body, max_bytes)) => read,
+        () = lease.wait_until_refused() => Ok(Err(StatusCode::SERVICE_UNAVAILABLE)),
     };
-    service.answer(Request::from_parts(head, bytes)).await
+    match read {
+        Ok(Ok(bytes)) => service.answer(Request::from_parts(head, bytes)).await,
+        Ok(Err(status)) => refuse(status),
+        Err(_) => refuse(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
+// Copies the body into one buffer: the pieces that arrive keep the whole buffers alive into which
+// they were read.
+async fn read_body(
+    lease: &Lease,
+    mut body: Incoming,
+    max_bytes: usize,
+) -> std::result::Result<Bytes, StatusCode> {
+    let max_length = body.size_hint().upper().map_or(max_bytes, |upper| upper as usize);
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
+        let Ok(piece) = frame.into_data() else { continue };
+        length += piece.len();
+        if length > max_bytes {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let appended = lease.append(&piece, max_length);
+        appended.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    }
+    let body = lease.take_body().map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    Ok(body.into())
+}
+
+// Response to a request that is not executed. The rest of its body is not read.
+fn refuse(status: StatusCode) -> Response<Bytes> {
+    let mut response = empty_response(status);
+    close_after(&mut response);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let after = HeaderValue::from_static(RETRY_AFTER_S);
+        response.headers_mut().insert(header::RETRY_AFTER, after);
+    }
+    response
+}
+
+fn close_after<B>(response: &mut Response<B>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
 }
 
 /// Builds a response without a body.
--- a/src/mesh/handshake.rs
+++ b/src/mesh/handshake.rs
@@ -4,11 +4,11 @@
 use futures_util::{SinkExt, StreamExt};
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
-use tokio::net::TcpStream;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite;
 use tokio_tungstenite::tungstenite::Message;
 
+use super::bounded::Bounded;
 use super::frame::{self, Greeting, Hello, Proof, VERSION, decode, encode};
 use crate::state::document::is_name;
 
@@ -48,12 +48,12 @@
 /// An authenticated connection to a peer.
 pub(super) struct Connection {
     pub(super) hello: Hello,
-    pub(super) socket: WebSocketStream<TcpStream>,
+    pub(super) socket: WebSocketStream<Bounded>,
 }
 
 /// A new connection that is not yet authenticated.
 pub(super) struct Handshake {
-    pub(super) socket: WebSocketStream<TcpStream>,
+    pub(super) socket: WebSocketStream<Bounded>,
 }
 
 impl Handshake {
@@ -81,6 +81,7 @@
         let peer_proof: Proof = decode(&self.receive().await?)?;
         let expected_mac = greetings_mac(key, &peer_greeting, &greeting);
         expected_mac.verify_slice(&peer_proof.mac).map_err(|_| Failure::Key)?;
+        self.socket.get_mut().lift_bound();
         Ok(Connection { hello: peer_greeting.hello, socket: self.socket })
     }
 
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -1,5 +1,6 @@
 //! One link: accepting or dialling it, reading, writing and detecting its loss.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,11 +9,13 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{self, Message};
 
+use super::bounded::Bounded;
 use super::frame::{Frame, MAX_FRAME_BYTES, decode, encode};
 use super::handshake::{Connection, Failure, Handshake, Result};
 use super::{Handler, Mesh, SEND_QUEUE_FRAMES};
@@ -21,6 +24,11 @@
 
 /// Limit for a handshake, which includes connecting on the dialling side.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum concurrent handshakes that peers have begun; those of all daemons of a large cluster fit.
+/// The oldest one gives way.
+const MAX_HANDSHAKES: usize = 512;
+/// Size of the buffer into which a link reads, in bytes. Each handshake in progress has one too.
+const READ_BUFFER_BYTES: usize = 32 << 10;
 /// Limit for writing one frame.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Frames that are flushed together; more would delay the first ones.
@@ -36,10 +44,11 @@
 /// Delay before a lost link is dialled again and after a failed accept.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-type Socket = WebSocketStream<TcpStream>;
+type Socket = WebSocketStream<Bounded>;
 
 fn websocket_config() -> WebSocketConfig {
     let config = WebSocketConfig::default();
+    let config = config.read_buffer_size(READ_BUFFER_BYTES);
     config.max_message_size(Some(MAX_FRAME_BYTES)).max_frame_size(Some(MAX_FRAME_BYTES))
 }
 
@@ -50,26 +59,43 @@
     key: Arc<[u8]>,
     handler: Arc<H>,
 ) {
+    let mut handshakes: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let Ok((stream, address)) = listener.accept().await else {
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
+        while handshakes.front().is_some_and(AbortHandle::is_finished) {
+            handshakes.pop_front();
+        }
+        if handshakes.len() >= MAX_HANDSHAKES {
+            handshakes.retain(|handshake| !handshake.is_finished());
+        }
+        if handshakes.len() >= MAX_HANDSHAKES
+            && let Some(oldest) = handshakes.pop_front()
+        {
+            tracing::warn!("oldest link handshake given up: too many in progress");
+            oldest.abort();
+        }
         let (mesh, key, handler) = (mesh.clone(), key.clone(), handler.clone());
-        tokio::spawn(async move {
+        let handshake = tokio::spawn(async move {
             match timeout(HANDSHAKE_TIMEOUT, accept_link(&mesh, stream, &key)).await {
-                Ok(Ok(connection)) => run_link(mesh, connection, handler).await,
+                Ok(Ok(connection)) => {
+                    tokio::spawn(run_link(mesh, connection, handler));
+                }
                 Ok(Err(error)) => {
                     tracing::warn!(%address, refused = %error, "link handshake failed")
                 }
                 Err(_) => tracing::warn!(%address, "link handshake timed out"),
             }
         });
+        handshakes.push_back(handshake.abort_handle());
     }
 }
 
 async fn accept_link(mesh: &Mesh, stream: TcpStream, key: &[u8]) -> Result<Connection> {
     stream.set_nodelay(true).map_err(|error| Failure::Socket(error.into()))?;
+    let stream = Bounded::new(stream);
     let socket =
         tokio_tungstenite::accept_async_with_config(stream, Some(websocket_config())).await?;
     Handshake { socket }.authenticate(mesh.own_hello(), key).await
@@ -104,6 +130,7 @@
     let to_handshake_error = |error: std::io::Error| Failure::Socket(error.into());
     let stream = TcpStream::connect(peer.address).await.map_err(to_handshake_error)?;
     stream.set_nodelay(true).map_err(to_handshake_error)?;
+    let stream = Bounded::new(stream);
     let url = format!("ws://{}/", peer.address);
     let (socket, _) =
         tokio_tungstenite::client_async_with_config(url, stream, Some(websocket_config())).await?;
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -1,5 +1,6 @@
 //! Links between daemons: each pair exchanges typed frames over one authenticated connection.
 
+mod bounded;
 pub mod call;
 mod discovery;
 pub mod frame;
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use miette::{IntoDiagnostic, WrapErr};
+use tokio::sync::Semaphore;
 
 use crate::batch::call::{Answer, Request};
 use crate::control::Control;
 use crate::control::client::Client;
-use crate::error::Result;
+use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Mutex, Rank};
 use crate::kernel::task;
 use crate::kernel::timer::Timer;
@@ -32,6 +33,10 @@
 /// for a change of leader.
 const READY_TIMEOUT_MS: u64 = 4_000;
 
+/// Maximum concurrent requests that carry a whole document: more than the orders that an operator has
+/// in progress. Each takes several times the size of the document.
+const MAX_DOCUMENT_REQUESTS: usize = 8;
+
 /// A running daemon.
 pub struct Node {
     settings: Settings,
@@ -43,6 +48,7 @@
     seeds: Mutex<Vec<SocketAddr>>,
     // Time of the last answer from a leader; `None` before the first answer.
     last_answer_ms: Mutex<Option<u64>>,
+    document_requests: Semaphore,
 }
 
 struct Dispatcher {
@@ -105,6 +111,7 @@
             known_members: known_members.clone(),
             seeds: Mutex::new(Rank::Leader, seeds),
             last_answer_ms: Mutex::new(Rank::Leader, None),
+            document_requests: Semaphore::new(MAX_DOCUMENT_REQUESTS),
             settings,
         });
         let discovering_node = node.clone();
@@ -133,7 +140,7 @@
         let started_ms = self.timer.now_ms();
         let (verb, subject) = request.subject();
         let subject = subject.to_string();
-        let answer = self.client.call_batch(request, within).await;
+        let answer = self.call_leader(request, within).await;
         let now_ms = self.timer.now_ms();
         match &answer {
             Ok(_) => *self.last_answer_ms.lock() = Some(now_ms),
@@ -146,6 +153,20 @@
         answer
     }
 
+    async fn call_leader(&self, request: Request, within: Duration) -> Result<Answer> {
+        if !matches!(request, Request::Document | Request::Publish(_)) {
+            return self.client.call_batch(request, within).await;
+        }
+        let started_ms = self.timer.now_ms();
+        let permit = tokio::time::timeout(within, self.document_requests.acquire()).await;
+        if permit.is_err() {
+            let message = "too many requests for documents are in progress";
+            return Err(Error::not_run(Code::Deadline, message));
+        }
+        let waited = Duration::from_millis(self.timer.now_ms() - started_ms);
+        self.client.call_batch(request, within.saturating_sub(waited)).await
+    }
+
     /// Returns whether the daemon can serve callers, which requires a recent answer from a leader.
     pub fn is_ready(&self) -> bool {
         let last_answer_ms = *self.last_answer_ms.lock();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -92,6 +92,8 @@
     pub log_bytes: u64,
     /// File descriptors that the process may have open.
     pub descriptors: usize,
+    /// Memory that the process may use, in MiB.
+    pub memory_mb: usize,
 }
 
 /// Intervals and timeouts of a daemon.
@@ -312,13 +314,25 @@
             upstream_connections: upstream_connections as usize,
             log_bytes: reader.number("limits.log_bytes", 8 << 20, 1 << 10, 1 << 30),
             descriptors: reader.number("limits.descriptors", 4_096, 256, 1 << 24) as usize,
+            memory_mb: reader.number("limits.memory_mb", 1_024, 48, 1 << 20) as usize,
         }
     }
 
-    /// Maximum concurrent connections of a listener. The other descriptors are left to links and
-    /// files.
+    /// Memory for what the connections of all listeners hold, in bytes: a third, since the state of
+    /// the daemon and what decoding takes need room beside it.
+    pub fn buffer_bytes(&self) -> usize {
+        (self.memory_mb << 20) / 3
+    }
+
+    /// Maximum concurrent connections of the listeners for callers and for operators. The other
+    /// descriptors are left to links, files and the other listeners.
     pub fn listener_connections(&self) -> usize {
-        self.descriptors / 4 * 3
+        self.descriptors / 8 * 5
+    }
+
+    /// Maximum concurrent connections of each listener for health checks and metrics.
+    pub fn probe_connections(&self) -> usize {
+        self.descriptors / 16
     }
 }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -15,6 +15,7 @@
 
 use crate::batch::worker::Exit;
 use crate::error::Code;
+use crate::listener::ledger::Report;
 use crate::settings::LogFormat;
 use crate::verdict::Verdict;
 pub use rate_limit::Limiter;
@@ -86,6 +87,10 @@
     completion: Histogram<f64>,
     commit_time: Histogram<f64>,
     heartbeat_time: Histogram<f64>,
+    listener_bytes: Gauge<u64>,
+    listener_connections: Gauge<u64>,
+    listener_refused: Counter<u64>,
+    listener_closed: Counter<u64>,
 }
 
 impl Metrics {
@@ -123,6 +128,10 @@
             completion: meter.f64_histogram("eelgrassvalve_batch_completion_seconds").build(),
             commit_time: meter.f64_histogram("eelgrassvalve_commit_seconds").build(),
             heartbeat_time: meter.f64_histogram("eelgrassvalve_heartbeat_seconds").build(),
+            listener_bytes: meter.u64_gauge("eelgrassvalve_listener_held_bytes").build(),
+            listener_connections: meter.u64_gauge("eelgrassvalve_listener_connections").build(),
+            listener_refused: meter.u64_counter("eelgrassvalve_listener_refused").build(),
+            listener_closed: meter.u64_counter("eelgrassvalve_listener_closed").build(),
             registry,
             _provider: provider,
         }
@@ -212,6 +221,15 @@
         self.heartbeat_time.record(seconds, &[]);
     }
 
+    /// Records what a listener holds and counts what it has turned away.
+    pub fn record_listener(&self, report: &Report) {
+        let listener = [KeyValue::new("listener", report.listener)];
+        self.listener_bytes.record(report.held_bytes as u64, &listener);
+        self.listener_connections.record(report.connections as u64, &listener);
+        self.listener_refused.add(report.refused, &listener);
+        self.listener_closed.add(report.closed, &listener);
+    }
+
     /// Counts bytes sent to other daemons.
     pub fn count_mesh_bytes(&self, bytes: u64) {
         self.mesh_bytes.add(bytes, &[]);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -84,3 +84,23 @@
     let faults = Settings::parse(&text, "a.toml", Path::new(".")).expect_err("a fault");
     assert!(faults.faults().iter().any(|fault| fault.key == key), "{:?}", faults.faults());
 }
+
+#[rstest]
+#[case::default("", Ok(1_024))]
+#[case::least("memory_mb = 48", Ok(48))]
+#[case::too_little("memory_mb = 47", Err("limits.memory_mb"))]
+fn memory_of_the_process_is_checked(
+    #[case] line: &str,
+    #[case] expected: Result<usize, &'static str>,
+) {
+    let text = format!("{VALID}[limits]\n{line}\n");
+    let settings = Settings::parse(&text, "a.toml", Path::new("."));
+    let found = match &settings {
+        Ok(settings) => Ok(settings.limits.memory_mb),
+        Err(faults) => Err(faults.faults()[0].key.as_str()),
+    };
+    assert_eq!(found, expected);
+    if let Ok(settings) = settings {
+        assert_eq!(settings.limits.buffer_bytes(), (settings.limits.memory_mb << 20) / 3);
+    }
+}
