--- a/src/batch/estimate.rs
+++ b/src/batch/estimate.rs
@@ -18,7 +18,7 @@
 const PRIOR_SLOPE: f64 = 0.5;
 /// Weight of the prior slope, as a sum of squared deviations of logarithms: that of about ten runs.
 const PRIOR_SLOPE_WEIGHT: f64 = 0.5;
-/// Weight, in runs, of what is known of a queue in the estimate for one customer's tasks of an
+/// Weight, in steps, of what is known of a queue in the estimate for one customer's tasks of an
 /// image.
 const QUEUE_WEIGHT: f64 = 10.0;
 /// Weight of a run in the speed of its worker if no other run of its step has been measured, so that
@@ -53,6 +53,9 @@
     pub customer: &'a str,
     /// Declared run time, in milliseconds; 0 if none was given.
     pub declared_ms: u64,
+    /// Number of tasks of its step. They are alike, so that all of them count as one sample of what
+    /// a customer submits; 0 counts as 1.
+    pub tasks: u32,
 }
 
 impl<'a> Kind<'a> {
@@ -63,6 +66,7 @@
             image: &step.image,
             customer: &job.customer,
             declared_ms: step.estimate_ms,
+            tasks: step.count,
         }
     }
 }
@@ -72,7 +76,7 @@
 pub struct Estimates {
     by_queue: Bounded<String, Regression, MAX_KINDS>,
     by_customer: Bounded<String, Regression, MAX_KINDS>,
-    // Mean deviation of the measured runs of a step from what was expected, speed taken out.
+    // Mean deviation of the measured runs of a step from what was expected in their zones.
     by_step: Bounded<(Id, u32), Mean, MAX_STEPS>,
     speeds: Speeds,
 }
@@ -84,7 +88,7 @@
         let location = Location { zone: sample.zone, ..Location::default() };
         self.learn_run_time(&kind, &location, sample.took_ms);
         let deviation = ln_ms(sample.took_ms) - self.ln_expected_ms(&kind);
-        self.speeds.learn(&location, deviation, 1.0);
+        self.speeds.learn_zone(sample.zone, deviation, 1.0);
     }
 
     /// Updates the run times with a finished run that did all its work near its data, without
@@ -93,9 +97,10 @@
         // Speed is factored out, so the regressions hold for workers of average speed.
         let took = ln_ms(took_ms) - self.speeds.offset(location);
         let declared = (kind.declared_ms > 0).then(|| ln_ms(kind.declared_ms));
-        self.by_queue.update(kind.queue).add(declared, took);
+        self.by_queue.update(kind.queue).add(declared, took, 1.0);
         if let Some(key) = customer_key(kind) {
-            self.by_customer.update(&key).add(declared, took);
+            let weight = 1.0 / f64::from(kind.tasks.max(1));
+            self.by_customer.update(&key).add(declared, took, weight);
         }
     }
 
@@ -109,12 +114,15 @@
         whole_ms: u64,
     ) {
         let deviation = ln_ms(whole_ms) - self.ln_expected_ms(kind);
-        // Tasks of a step are alike, so that comparing them with each other takes their length out.
         let siblings = self.by_step.get(&step).copied().unwrap_or_default();
+        // Tasks of a step are alike, so that all of them together count as one in a zone.
+        self.speeds.learn_zone(location.zone, deviation, 1.0 / (1.0 + siblings.weight));
+        // Comparing them with each other takes their length out. Only the speed of the zone is taken
+        // out of the runs compared with: what is learned of a worker must not confirm itself.
+        let in_zone = deviation - self.speeds.zone_offset(location.zone);
         let weight = if siblings.weight > 0.0 { 1.0 } else { LONE_RUN_WEIGHT };
-        self.speeds.learn(location, deviation - siblings.mean, weight);
-        let own_length = deviation - self.speeds.offset(location);
-        self.by_step.update(&step).add(own_length, 1.0, DECAY);
+        self.speeds.learn_in_zone(location, in_zone - siblings.mean, weight);
+        self.by_step.update(&step).add(in_zone, 1.0, DECAY);
     }
 
     /// Expected run time of a queue's tasks on a worker of average speed, in milliseconds.
@@ -195,18 +203,19 @@
 }
 
 impl Regression {
-    fn add(&mut self, declared: Option<f64>, took: f64) {
+    fn add(&mut self, declared: Option<f64>, took: f64, weight: f64) {
         let previous_mean = self.took.mean;
-        self.took.add(took, 1.0, DECAY);
+        self.took.add(took, weight, DECAY);
         let Some(declared) = declared else { return };
         let deviation = declared - self.declared.mean;
-        self.declared.add(declared, 1.0, DECAY);
-        if self.declared.weight <= 1.0 {
+        self.declared.add(declared, weight, DECAY);
+        if self.declared.weight <= weight {
             return;
         }
-        self.squares = self.squares * DECAY + deviation * (declared - self.declared.mean);
-        self.products =
-            self.products * DECAY + (took - previous_mean) * (declared - self.declared.mean);
+        let decay = DECAY.powf(weight);
+        let weighted = weight * (declared - self.declared.mean);
+        self.squares = self.squares * decay + weighted * deviation;
+        self.products = self.products * decay + weighted * (took - previous_mean);
     }
 
     // Share of a declared run time's deviation from the mean that is real.
--- a/src/batch/speed.rs
+++ b/src/batch/speed.rs
@@ -48,13 +48,22 @@
 }
 
 impl Speeds {
-    /// Updates the speeds with a run. `deviation` is the logarithm of its time as a multiple of the
-    /// expected time on a worker of average speed.
-    pub fn learn(&mut self, location: &Location<'_>, deviation: f64, weight: f64) {
-        let of_zone = self.zones.learn(location.zone, deviation, (weight, GROUP_DECAY));
-        let in_zone = deviation - of_zone;
-        let of_rack = self.racks.learn(location.rack, in_zone, (weight, GROUP_DECAY));
-        self.workers.learn(location.worker, in_zone - of_rack, (weight, WORKER_DECAY));
+    /// Updates the speed of a zone with a run. `deviation` is the logarithm of its time as a multiple
+    /// of the expected time on a worker of average speed.
+    pub fn learn_zone(&mut self, zone: &str, deviation: f64, weight: f64) {
+        self.zones.learn(zone, deviation, (weight, GROUP_DECAY));
+    }
+
+    /// Updates the speeds of a rack and a worker with a run. `deviation` is the logarithm of its time
+    /// as a multiple of the usual one in its zone.
+    pub fn learn_in_zone(&mut self, location: &Location<'_>, deviation: f64, weight: f64) {
+        let of_rack = self.racks.learn(location.rack, deviation, (weight, GROUP_DECAY));
+        self.workers.learn(location.worker, deviation - of_rack, (weight, WORKER_DECAY));
+    }
+
+    /// Logarithm of the factor by which runs take longer than average in a zone.
+    pub fn zone_offset(&self, zone: &str) -> f64 {
+        self.zones.offset(zone)
     }
 
     /// Logarithm of the factor by which runs take longer than average at a location.
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -27,6 +27,9 @@
 use crate::state::Command;
 use crate::telemetry::{DECISION, Metrics};
 
+/// Change of the spread of learned speeds that is logged, as a logarithm: a twentieth.
+const LOGGED_SPREAD_CHANGE: f64 = 0.05;
+
 /// State of batch dispatch that is kept in memory only.
 pub(super) struct Dispatch {
     term_state: Mutex<Term>,
@@ -48,6 +51,8 @@
     balancer: Balancer,
     planner: Planner,
     estimates: Estimates,
+    // How far zones, racks and workers differ in speed, as last logged.
+    logged_spreads: [f64; 3],
 }
 
 impl Dispatch {
@@ -160,20 +165,17 @@
     }
 
     fn record_paces(&mut self, table: &Jobs, worker: &str) {
-        let was_even = self.estimates.speeds().is_even();
-        let spreads_before = self.estimates.speeds().spreads();
         self.fleet.learn_paces(worker, table, &mut self.estimates);
-        let is_even = self.estimates.speeds().is_even();
         let spreads = self.estimates.speeds().spreads();
-        if spreads == spreads_before && is_even == was_even {
+        let mut changes = spreads.iter().zip(&self.logged_spreads);
+        if !changes.any(|(spread, logged)| (spread - logged).abs() >= LOGGED_SPREAD_CHANGE) {
             return;
         }
+        self.logged_spreads = spreads;
         let [zones, racks, workers] = spreads;
         for (level, spread) in [("zone", zones), ("rack", racks), ("worker", workers)] {
             Metrics::global().set_speed_spread(level, spread);
         }
-        if is_even != was_even {
-            tracing::info!(target: DECISION, is_even, zones, racks, workers, "speed of workers");
-        }
+        tracing::info!(target: DECISION, zones, racks, workers, "speed of workers");
     }
 }
