--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -52,7 +52,7 @@
     if !control.machine.lock().batch.job(id).is_none_or(is_own) {
         return Err(id_conflict(id));
     }
-    tracing::info!(target: DECISION, job = %id, queue, steps, revision, "job accepted");
+    tracing::info!(target: DECISION, job = %id, queue, customer, steps, revision, "job accepted");
     Metrics::global().count_job("accepted");
     control.dispatch.round_requested.notify_one();
     Ok(Answer::Phase(Phase::Queued))
