Fleet: a run that was never ordered leaves a silent worker at once

While that is being committed the order isn't sent (pending ends), as before. Runs of an earlier leader, and those whose order went out in any answer, wait for the lease as before.

Test: fault_unstarted::a_run_that_was_never_ordered_leaves_a_silent_worker (both cases).

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -193,8 +193,8 @@
         self.sessions.get(worker)
     }
 
-    /// Returns the ends of runs whose workers' leases have expired, or that left, and of gangs' runs on
-    /// silent workers that must have ended there. The leases of workers that have sent this leader no
+    /// Returns the ends of runs whose workers' leases have expired, or that left, and of runs on silent
+    /// workers that were never sent there, or are of a gang and must have ended there. The leases of workers that have sent this leader no
     /// heartbeat expire at `default_lease_until_ms`.
     pub fn lost_runs(&self, table: &Table, default_lease_until_ms: u64, now_ms: u64) -> Vec<End> {
         let mut ends = Vec::new();
@@ -210,7 +210,11 @@
                     Some(leave) => leave.is_over(now_ms),
                     None => now_ms >= lease_until_ms,
                 };
-                let has_ended = is_lost || (is_silent && table.has_ended_unreported(task, run));
+                let is_over = || {
+                    session.is_some_and(|known| known.is_unsent(task, run.number))
+                        || table.has_ended_unreported(task, run)
+                };
+                let has_ended = is_lost || (is_silent && is_over());
                 if !has_ended {
                     continue;
                 }
--- a/src/batch/fleet/orders.rs
+++ b/src/batch/fleet/orders.rs
@@ -76,7 +76,7 @@
                 orders.start.push(Start { task: *task, run: run.number, payload, checkpoint });
             }
         }
-        session.sent_starts = orders.start.iter().map(|start| (start.task, start.run)).collect();
+        session.record_orders(orders.start.iter().map(|start| (start.task, start.run)).collect());
         session.has_more_orders = budget.is_exceeded;
         orders
     }
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -50,6 +50,8 @@
     answered_ms: u64,
     // Runs placed by this leader.
     own_runs: BTreeSet<(TaskId, u32)>,
+    // Those of them whose start orders were never sent.
+    unsent_runs: BTreeSet<(TaskId, u32)>,
     // Start orders sent with the answer to the latest heartbeat.
     pub(super) sent_starts: BTreeSet<(TaskId, u32)>,
     // Heartbeats without the run after an answer with its start order, by run.
@@ -74,6 +76,7 @@
             answered_clock_ms: None,
             answered_ms: 0,
             own_runs: BTreeSet::new(),
+            unsent_runs: BTreeSet::new(),
             sent_starts: BTreeSet::new(),
             unheeded_starts: BTreeMap::new(),
             has_more_orders: false,
@@ -138,6 +141,19 @@
     // Records that this leader placed a run on the worker.
     pub(super) fn record_start(&mut self, task: TaskId, run: u32) {
         self.own_runs.insert((task, run));
+        self.unsent_runs.insert((task, run));
+    }
+
+    // Records the start orders in the answer to the latest heartbeat.
+    pub(super) fn record_orders(&mut self, starts: BTreeSet<(TaskId, u32)>) {
+        self.unsent_runs.retain(|run| !starts.contains(run));
+        self.sent_starts = starts;
+    }
+
+    // Whether the worker can't have begun a run, since it was placed by this leader and no start order
+    // was sent.
+    pub(super) fn is_unsent(&self, task: &TaskId, run: u32) -> bool {
+        self.unsent_runs.contains(&(*task, run))
     }
 
     // Forgets runs of this leader that have ended. One that the table does not have yet is about to
@@ -147,6 +163,8 @@
             let task = table.live.get(&name.job).and_then(|job| job.task(name));
             task.is_some_and(|task| task.runs < *run) || table.is_run_active(name, *run)
         });
+        let own_runs = &self.own_runs;
+        self.unsent_runs.retain(|run| own_runs.contains(run));
     }
 
     // Whether a heartbeat of a seemingly earlier incarnation may be one of a later incarnation, whose clock was
--- a/tests/fault_unstarted.rs
+++ b/tests/fault_unstarted.rs
@@ -4,7 +4,7 @@
 
 use eelgrassvalve::batch::worker::Exit;
 use rstest::rstest;
-use support::batch::{Harness, gang, step, task_id};
+use support::batch::{Harness, LEASE_MS, gang, step, task_id};
 
 /// Interval of the heartbeats of a worker whose answers arrive, in milliseconds.
 const ANSWERED_INTERVAL_MS: u64 = 500;
@@ -111,3 +111,25 @@
         assert_eq!(receipt.ends, []);
     }
 }
+
+/// A worker goes silent right after a gang was placed on it. Whether the gang starts elsewhere before the
+/// worker's lease has ended depends on whether a start order may have reached it.
+#[rstest]
+#[case::no_order_was_sent(false)]
+#[case::an_order_was_sent(true)]
+fn a_run_that_was_never_ordered_leaves_a_silent_worker(#[case] is_sent: bool) {
+    let mut harness = Harness::with_workers(2);
+    harness.submit(1, "urgent", vec![gang(1)]);
+    harness.run_round();
+    let silent = harness.worker_of(task_id(1, 0, 0)).expect("it is placed");
+    if is_sent {
+        harness.fleet.issue_orders(&silent, &harness.table);
+    }
+    let lease_until_ms = harness.now_ms + 2 * LEASE_MS;
+    harness.now_ms += LEASE_MS / 2;
+    let ends = harness.fleet.pending_ends(&harness.table, lease_until_ms, harness.now_ms);
+    assert_eq!(ends.is_empty(), is_sent);
+    // The order isn't sent while the end is being committed.
+    let orders = harness.fleet.issue_orders(&silent, &harness.table);
+    assert_eq!(orders.start.is_empty(), !is_sent);
+}
