Plan: customers of one priority take turns by their shares; Control: refusals of what can't be done in time

Cause: between jobs of the same priority only the latest start decided, so that a customer's burst that was handed in first delayed everybody else's jobs in a pool that is too small. And a job was accepted whatever waited ahead of it.

Change: - batch::share: weighted max-min fairness over dominant shares, pure. plan::fairness marks the steps that exceed their customer's share; the order has that after priority and the chance to be on time, before the latest start. Without contention (all claims fit into the pool) there is no level, and the order is as before. - batch::admission: a job is refused (429, over_limit, not_run) if it would be of no use although its work and what goes before it took half the expected time at the speed of the whole pool. Retry-After says when it would be of use; each refused job takes a place behind its customer's earlier ones. Decided before the hand-in is proposed; a job that this leader has proposed is never refused. Jobs of priority 0 within a guarantee, scheduled and long-running ones are exempt. - control::dispatch::refusal takes both refusals out of caller.rs; a hand-in is checked in the term of its read. - Lines "customer yields" and "job refused", metric batch_yielding_customers, events refused_backlog and refused_impossible.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -183,6 +183,14 @@
 }
 
 impl Spec {
+    /// Number of accelerators that all tasks need at the same time.
+    pub fn accelerators(&self) -> u64 {
+        self.steps
+            .iter()
+            .map(|step| u64::from(step.count) * u64::from(step.demand.accelerators))
+            .sum()
+    }
+
     /// Returns the reason why the job is malformed, if it is.
     pub fn fault(&self) -> Option<String> {
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -3,6 +3,7 @@
 //! [`table`] is replicated state; [`fleet`] and [`plan`] are derived by the leader from that state
 //! and from the heartbeats that it receives. This module reads no clock and does no I/O.
 
+pub mod admission;
 pub mod balance;
 pub mod call;
 pub mod document;
@@ -11,6 +12,7 @@
 pub mod job;
 pub mod pace;
 pub mod plan;
+pub mod share;
 pub mod table;
 pub mod worker;
 
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -3,8 +3,10 @@
 //! A decision depends only on the job table, the fleet and the learned run times.
 
 mod allocation;
+mod backlog;
 mod candidate;
 mod evict;
+mod fairness;
 mod outlook;
 mod preference;
 mod reserve;
@@ -12,14 +14,16 @@
 use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::admission::Backlog;
 use super::estimate::Estimates;
 use super::fleet::{Fleet, Worker};
 use super::job::{Id, Resources, Step, TaskId};
 use super::table::{Round, Start, Table};
 use allocation::Allocation;
 use candidate::Class;
-pub use candidate::{Candidate, candidates, startable_tasks};
+pub use candidate::{Candidate, candidates, longest_path_ms, startable_tasks};
 use evict::Evictor;
+pub use fairness::Excess;
 use outlook::Release;
 
 /// Age at which a pending eviction expires and its capacity is no longer held, in milliseconds. An
@@ -102,6 +106,10 @@
     pub expired: usize,
     /// Share of each pool's accelerators (or cores, if it has none) that is in use.
     pub utilization: BTreeMap<String, f64>,
+    /// Customers whose jobs yield to others', since the pool is too small for all.
+    pub excess: Vec<Excess>,
+    /// Work that waited before the decision, by pool.
+    pub backlogs: BTreeMap<String, Backlog>,
 }
 
 /// Decides on placements and keeps track of pending evictions between decisions.
@@ -230,9 +238,12 @@
 impl Planner {
     /// Decides which tasks start and which runs stop now.
     pub fn decide(&mut self, view: View<'_>) -> Plan {
-        let candidates = candidates(&view);
+        let mut candidates = candidates(&view);
         self.remove_stale_evictions(view.now_ms, &candidates);
         let mut decision = Decision::new(view);
+        decision.plan.excess = fairness::mark_excess(&mut candidates, &decision.cluster);
+        candidate::sort(&mut candidates, &view);
+        decision.plan.backlogs = backlog::collect(&candidates, &decision.cluster);
         decision.plan.expired = candidates.iter().filter(|candidate| candidate.is_expired).count();
         for (at, candidate) in candidates.iter().enumerate() {
             let starts_left = MAX_STARTS.saturating_sub(decision.plan.round.starts.len());
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -60,6 +60,8 @@
     pub is_guaranteed: bool,
     /// Whether a long-running task that has run before waits. Its users miss it until it runs again.
     pub is_restart: bool,
+    /// Whether the pool is too small for all and the customer has its fair share without this step.
+    pub exceeds_share: bool,
 }
 
 impl<'a> Candidate<'a> {
@@ -185,6 +187,12 @@
             }
         }
     }
+    sort(&mut candidates, view);
+    candidates
+}
+
+/// Sorts candidates, most urgent first.
+pub(super) fn sort(candidates: &mut [Candidate<'_>], view: &View<'_>) {
     candidates.sort_by_key(|candidate| {
         let accelerators = u64::from(candidate.step.demand.accelerators.max(1));
         let work = candidate.run_ms.saturating_mul(accelerators);
@@ -194,12 +202,12 @@
             candidate.is_expired,
             candidate.job.terms.priority,
             candidate.is_late,
+            candidate.exceeds_share,
             candidate.deadline_ms.saturating_sub(candidate.remaining_ms),
             work,
             candidate.id,
         )
     });
-    candidates
 }
 
 /// Indices of the waiting tasks of a step that may start. A task or gang that may have failed as often as
@@ -269,6 +277,7 @@
         is_late: !step.is_lasting && done_ms > deadline_ms,
         is_guaranteed: false,
         is_restart,
+        exceeds_share: false,
     }
 }
 
@@ -297,12 +306,12 @@
 
 /// Expected length of the job's critical path, in milliseconds.
 pub(super) fn critical_path_ms(view: &View<'_>, job: &Job) -> u64 {
-    longest_path_ms(job, |at| run_ms(view, job, &job.spec.steps[at]))
+    longest_path_ms(&job.spec.steps, |at| run_ms(view, job, &job.spec.steps[at]))
 }
 
 // Expected length of the critical path through the steps that are not done.
 fn remaining_ms(view: &View<'_>, job: &Job, occurrence: &Occurrence) -> u64 {
-    longest_path_ms(job, |at| {
+    longest_path_ms(&job.spec.steps, |at| {
         if occurrence.steps[at].is_done() {
             return 0;
         }
@@ -310,9 +319,10 @@
     })
 }
 
-fn longest_path_ms(job: &Job, step_ms: impl Fn(usize) -> u64) -> u64 {
-    let mut ends_ms: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
-    for (at, step) in job.spec.steps.iter().enumerate() {
+/// Length of the longest chain of steps that wait for one another, in milliseconds.
+pub fn longest_path_ms(steps: &[Step], step_ms: impl Fn(usize) -> u64) -> u64 {
+    let mut ends_ms: Vec<u64> = Vec::with_capacity(steps.len());
+    for (at, step) in steps.iter().enumerate() {
         let begin_ms =
             step.after.iter().map(|earlier| ends_ms[*earlier as usize]).max().unwrap_or(0);
         ends_ms.push(begin_ms.saturating_add(step_ms(at)));
@@ -327,10 +337,7 @@
         if job.terms.priority > 0 {
             continue;
         }
-        let accelerators =
-            |step: &Step| u64::from(step.count) * u64::from(step.demand.accelerators);
-        let total: u64 = job.spec.steps.iter().map(accelerators).sum();
-        *claimed.entry(job.customer.as_str()).or_default() += total;
+        *claimed.entry(job.customer.as_str()).or_default() += job.spec.accelerators();
     }
     claimed
 }
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -4,6 +4,7 @@
 mod heartbeat;
 pub(super) mod lag;
 pub(super) mod membership;
+mod refusal;
 pub(super) mod round;
 
 use std::sync::atomic::AtomicU64;
@@ -12,6 +13,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::{COMMIT_TIMEOUT, Control};
+use crate::batch::admission::Admission;
 use crate::batch::balance::Balancer;
 use crate::batch::call::{Answer, Request};
 use crate::batch::estimate::{Estimates, Sample};
@@ -47,6 +49,7 @@
     fleet: Fleet,
     balancer: Balancer,
     planner: Planner,
+    admission: Admission,
     estimates: Estimates,
 }
 
--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -1,21 +1,15 @@
 //! Requests of callers and operators at the leader: jobs and the configuration document.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
-use super::{Control, propose};
+use super::{Control, propose, refusal};
 use crate::batch::call::{Answer, Target};
 use crate::batch::document::{Document, Queue};
-use crate::batch::fleet::lease_bound_ms;
 use crate::batch::job::{Id, Job, Phase, Spec, active_runs};
-use crate::batch::plan::find_unsatisfiable_step;
 use crate::batch::table::{self, Command as Batch, Evacuation, Submission, Table};
 use crate::error::{Code, Error, Result};
 use crate::telemetry::{DECISION, Metrics};
 
-/// Retry delay for a job that no known worker could run: new workers are added within minutes.
-const IMPOSSIBLE_RETRY_DELAY: Duration = Duration::from_secs(60);
-
 /// Maximum length of the name of an availability zone, in bytes; names are part of the log.
 const MAX_ZONE_BYTES: usize = 256;
 
@@ -24,7 +18,7 @@
     target: &Target,
     spec: std::result::Result<Spec, String>,
 ) -> Result<Answer> {
-    control.group.read().await?;
+    let term = control.group.read_in_term().await?;
     let (submission, revision, is_open) = {
         let machine = control.machine.lock();
         let (queue, rest, customer) = find_authorized_queue(&machine.batch.document, target)?;
@@ -39,9 +33,9 @@
         if let Some(fault) = spec.fault() {
             return Err(Error::not_run(Code::BadRequest, fault));
         }
-        reject_impossible(control, &machine.batch, queue, &spec)?;
         let (queue, terms) = (queue.name.clone(), queue.terms.clone());
         let submission = Submission { id, queue, customer, terms, spec };
+        refusal::check(control, term, &machine.batch, &submission)?;
         (submission, machine.batch.document.revision, is_open)
     };
     let (id, queue) = (submission.id, submission.queue.clone());
@@ -139,25 +133,6 @@
     Ok(Answer::Document { revision: document.revision, source: document.source.clone() })
 }
 
-// Rejects a job of which a step fits on no worker. A new leader accepts every job until all live
-// workers must have sent it a heartbeat.
-fn reject_impossible(control: &Control, jobs: &Table, queue: &Queue, spec: &Spec) -> Result<()> {
-    let now_ms = control.timer.now_ms();
-    let leader_for_ms = now_ms.saturating_sub(control.group.role_since_ms());
-    if leader_for_ms < lease_bound_ms(control.dispatch.lease_ms) {
-        return Ok(());
-    }
-    let term_state = control.dispatch.term_state.lock();
-    let places = term_state.fleet.workers(jobs, now_ms);
-    match find_unsatisfiable_step(&places, &queue.terms.pool, &spec.steps) {
-        Some(step) => {
-            let message = format!("no workers of the pool could hold step {step}");
-            Err(Error::not_run(Code::OverLimit, message).retry_after(IMPOSSIBLE_RETRY_DELAY))
-        }
-        None => Ok(()),
-    }
-}
-
 fn find_authorized_queue<'a, 'b>(
     document: &'a Document,
     target: &'b Target,
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -19,6 +19,8 @@
 /// Pause after a round, as a multiple of its processor time: two thirds of the processor are left
 /// to heartbeats and callers, however large the fleet is.
 const PAUSE_FACTOR: u32 = 2;
+/// Maximum number of log lines about customers beyond their share each time that the load is logged.
+const MAX_EXCESS_LINES: usize = 10;
 /// Interval of the log lines about the load, in milliseconds.
 const LOAD_LOG_INTERVAL_MS: u64 = 1_000;
 
@@ -73,6 +75,7 @@
     *busy += started.elapsed();
     Metrics::global().record_placement(started.elapsed().as_secs_f64());
     Metrics::global().set_steps_waiting(plan.waiting as u64);
+    Metrics::global().set_yielding_customers(plan.excess.len() as u64);
     if plan.is_cut_short {
         dispatch.round_requested.notify_one();
     }
@@ -133,7 +136,7 @@
     let machine = control.machine.lock();
     let mut term_state = control.dispatch.term_state.lock();
     term_state.enter(term, control)?;
-    let Term { fleet, planner, estimates, .. } = &mut *term_state;
+    let Term { fleet, planner, admission, estimates, .. } = &mut *term_state;
     let remote_factor = control.dispatch.times.remote_factor;
     let stuck = fleet.stuck_runs(&machine.batch, estimates, remote_factor);
     let evacuated = fleet.runs_to_evacuate(&machine.batch, now_ms);
@@ -150,6 +153,7 @@
     };
     let mut plan = planner.decide(view);
     fleet.record_starts(&plan.round.starts);
+    admission.update(std::mem::take(&mut plan.backlogs), &machine.batch, now_ms);
     for (name, run) in evacuated {
         tracing::info!(target: DECISION, task = %name, run, "stopping run before its worker leaves");
         plan.round.stops.push((name, run));
@@ -174,6 +178,12 @@
         let percent = (used_fraction * 100.0) as u64;
         tracing::info!(target: DECISION, pool, used_percent = percent, waiting, hopeless, "load");
     }
+    for excess in plan.excess.iter().take(MAX_EXCESS_LINES) {
+        let (pool, priority, customer) = (&excess.pool, excess.priority, &excess.customer);
+        let claimed_percent = (excess.claimed * 100.0) as u64;
+        let fair_percent = (excess.fair * 100.0) as u64;
+        tracing::info!(target: DECISION, pool, priority, customer, claimed_percent, fair_percent, "customer yields: it asks for more than its share");
+    }
 }
 
 fn workers_of_stops(control: &Control, round: &Round) -> BTreeSet<String> {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -82,6 +82,7 @@
     refusals: Counter<u64>,
     log_lines_dropped: Counter<u64>,
     steps_waiting: Gauge<u64>,
+    yielding_customers: Gauge<u64>,
     first_start: Histogram<f64>,
     completion: Histogram<f64>,
     commit_time: Histogram<f64>,
@@ -119,6 +120,7 @@
             refusals: meter.u64_counter("eelgrassvalve_batch_refusals").build(),
             log_lines_dropped: meter.u64_counter("eelgrassvalve_log_lines_dropped").build(),
             steps_waiting: meter.u64_gauge("eelgrassvalve_batch_steps_waiting").build(),
+            yielding_customers: meter.u64_gauge("eelgrassvalve_batch_yielding_customers").build(),
             first_start: meter.f64_histogram("eelgrassvalve_batch_first_start_seconds").build(),
             completion: meter.f64_histogram("eelgrassvalve_batch_completion_seconds").build(),
             commit_time: meter.f64_histogram("eelgrassvalve_commit_seconds").build(),
@@ -187,6 +189,12 @@
         self.log_lines_dropped.add(count, &[]);
     }
 
+    /// Sets the number of customers that yield to others since they ask for more than their share, counted
+    /// once for each priority class.
+    pub fn set_yielding_customers(&self, count: u64) {
+        self.yielding_customers.record(count, &[]);
+    }
+
     /// Sets the number of steps that wait for placement.
     pub fn set_steps_waiting(&self, count: u64) {
         self.steps_waiting.record(count, &[]);
