--- a/src/batch/fleet/orders.rs
+++ b/src/batch/fleet/orders.rs
@@ -87,7 +87,7 @@
                 }
             }
         }
-        session.sent_starts = orders.start.iter().map(|start| (start.task, start.run)).collect();
+        session.record_orders(orders.start.iter().map(|start| (start.task, start.run)).collect());
         session.has_more_orders = budget.is_exceeded;
         orders
     }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -3,6 +3,7 @@
 //! [`table`] is replicated state; [`fleet`] and [`plan`] are derived by the leader from that state
 //! and from the heartbeats that it receives. This module reads no clock and does no I/O.
 
+pub mod admission;
 pub mod balance;
 mod bounded;
 pub mod call;
@@ -13,6 +14,7 @@
 pub mod job;
 pub mod pace;
 pub mod plan;
+pub mod share;
 pub mod speed;
 pub mod table;
 pub mod throttle;
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -5,6 +5,7 @@
 pub(super) mod lag;
 pub(super) mod membership;
 mod neighbour;
+mod refusal;
 pub(super) mod round;
 
 use std::sync::atomic::AtomicU64;
@@ -13,6 +14,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::{COMMIT_TIMEOUT, Control};
+use crate::batch::admission::Admission;
 use crate::batch::balance::Balancer;
 use crate::batch::call::{Answer, Request};
 use crate::batch::estimate::{Estimates, Kind};
@@ -53,6 +55,7 @@
     fleet: Fleet,
     balancer: Balancer,
     planner: Planner,
+    admission: Admission,
     estimates: Estimates,
     // How far zones, racks and workers differ in speed, as last logged.
     logged_spreads: [f64; 3],
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -86,6 +86,7 @@
     speed_spread: Gauge<f64>,
     interfering_pairs: Gauge<u64>,
     pace_changes: Counter<u64>,
+    yielding_customers: Gauge<u64>,
     first_start: Histogram<f64>,
     completion: Histogram<f64>,
     commit_time: Histogram<f64>,
@@ -130,6 +131,7 @@
             speed_spread: meter.f64_gauge("eelgrassvalve_batch_speed_spread").build(),
             interfering_pairs: meter.u64_gauge("eelgrassvalve_batch_interfering_pairs").build(),
             pace_changes: meter.u64_counter("eelgrassvalve_batch_pace_changes").build(),
+            yielding_customers: meter.u64_gauge("eelgrassvalve_batch_yielding_customers").build(),
             first_start: meter.f64_histogram("eelgrassvalve_batch_first_start_seconds").build(),
             completion: meter.f64_histogram("eelgrassvalve_batch_completion_seconds").build(),
             commit_time: meter.f64_histogram("eelgrassvalve_commit_seconds").build(),
@@ -212,6 +214,12 @@
         self.pace_changes.add(1, &[]);
     }
 
+    /// Sets the number of customers that yield to others since they ask for more than their share, counted
+    /// once for each priority class.
+    pub fn set_yielding_customers(&self, count: u64) {
+        self.yielding_customers.record(count, &[]);
+    }
+
     /// Sets the number of steps that wait for placement.
     pub fn set_steps_waiting(&self, count: u64) {
         self.steps_waiting.record(count, &[]);
