--- a/src/control/dispatch/neighbour.rs
+++ b/src/control/dispatch/neighbour.rs
@@ -1,5 +1,7 @@
 //! Learns at the leader which tasks slow each other down, and logs it.
 
+use std::collections::BTreeSet;
+
 use super::{Control, Jobs, Term};
 use crate::batch::interference::Pair;
 use crate::batch::table::End;
@@ -9,6 +11,8 @@
 /// Interval between the latencies of a worker that are learned from, in milliseconds: each covers half
 /// a second.
 const LATENCY_INTERVAL_MS: u64 = 1_000;
+/// Least time between two looks for pairs to log, in milliseconds.
+const PAIRS_CHECK_INTERVAL_MS: u64 = 1_000;
 
 impl Term {
     /// Learns from a worker's latest heartbeat: the ends of its runs, which the table still places on it, and
@@ -43,12 +47,37 @@
     }
 }
 
-/// Logs and counts the pairs of images of which one slows the other down.
-pub(super) fn log_pairs(control: &Control) {
-    let pairs = control.dispatch.term_state.lock().estimates.interference.pairs(wall_ms());
-    Metrics::global().set_interfering_pairs(pairs.len() as u64);
-    for Pair { image, beside, slowdown } in pairs {
-        let percent = (slowdown * 100.0) as u64;
-        tracing::info!(target: DECISION, image, beside, percent, "runs take longer beside others");
+/// Pairs of images of which one slows the other down, as they were logged last.
+#[derive(Debug, Default)]
+pub(super) struct PairLog {
+    known: BTreeSet<(String, String)>,
+    checked_ms: u64,
+}
+
+impl PairLog {
+    /// Logs the pairs that have become certain or are so no longer, at most once in
+    /// [`PAIRS_CHECK_INTERVAL_MS`].
+    pub(super) fn update(&mut self, control: &Control) {
+        let now_ms = control.timer.now_ms();
+        if now_ms < self.checked_ms + PAIRS_CHECK_INTERVAL_MS {
+            return;
+        }
+        self.checked_ms = now_ms;
+        let pairs = control.dispatch.term_state.lock().estimates.interference.pairs(wall_ms());
+        Metrics::global().set_interfering_pairs(pairs.len() as u64);
+        let mut certain = BTreeSet::new();
+        for Pair { image, beside, slowdown } in pairs {
+            let percent = (slowdown * 100.0) as u64;
+            let key = (image, beside);
+            if !self.known.contains(&key) {
+                let (image, beside) = &key;
+                tracing::info!(target: DECISION, image, beside, percent, "runs take longer beside others");
+            }
+            certain.insert(key);
+        }
+        for (image, beside) in self.known.difference(&certain) {
+            tracing::info!(target: DECISION, image, beside, "runs are no longer known to take longer beside others");
+        }
+        self.known = certain;
     }
 }
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -5,7 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use super::{Control, Term, neighbour, propose_round};
+use super::neighbour::PairLog;
+use super::{Control, Term, propose_round};
 use crate::batch::fleet::lease_bound_ms;
 use crate::batch::job::{Id, TaskId, active_runs};
 use crate::batch::plan::{Plan, View};
@@ -21,12 +22,10 @@
 const PAUSE_FACTOR: u32 = 2;
 /// Interval of the log lines about the load, in milliseconds.
 const LOAD_LOG_INTERVAL_MS: u64 = 1_000;
-/// Interval of the log lines about tasks that slow each other down, in milliseconds.
-const PAIRS_LOG_INTERVAL_MS: u64 = 10_000;
 
 /// Runs rounds in an endless loop, while this member leads.
 pub(in crate::control) async fn run(control: Arc<Control>) {
-    let mut pairs_logged_at_ms = control.timer.now_ms();
+    let mut pair_log = PairLog::default();
     loop {
         tokio::select! {
             () = control.dispatch.round_requested.notified() => {}
@@ -40,10 +39,7 @@
         if let Err(error) = outcome {
             tracing::warn!(%error, "round not committed; workers will report ended runs again");
         }
-        if control.timer.now_ms() >= pairs_logged_at_ms + PAIRS_LOG_INTERVAL_MS {
-            pairs_logged_at_ms = control.timer.now_ms();
-            neighbour::log_pairs(&control);
-        }
+        pair_log.update(&control);
         // Changes that arrive during the pause share the next round.
         control.timer.sleep(pause_after(busy)).await;
     }
