Memory of clients: busy connections end for refused ones

Change: each refused connection ends another one after its next answer; connections for health checks and metrics are accepted beyond the part for connections.

The stress trial was not run again.

--- a/src/listener.rs
+++ b/src/listener.rs
@@ -2,6 +2,7 @@
 //! in progress before it stops. The memory that its connections hold comes from a budget.
 
 mod budget;
+mod entry;
 pub mod ledger;
 mod parts;
 mod stream;
@@ -122,13 +123,15 @@
     address: SocketAddr,
     limits: Limits,
     name: &'static str,
+    is_reserved: bool,
     budget: Budget,
 }
 
 impl Listener {
     /// Creates a listener with a budget of its own.
     pub fn new(address: SocketAddr, limits: Limits) -> Self {
-        Self { address, limits, name: "http", budget: Budget::new(DEFAULT_BUDGET_BYTES) }
+        let budget = Budget::new(DEFAULT_BUDGET_BYTES);
+        Self { address, limits, name: "http", is_reserved: false, budget }
     }
 
     /// Sets the name that logs and metrics use.
@@ -138,6 +141,14 @@
         self
     }
 
+    /// Accepts connections also when the budget is used up by those of other listeners, for health
+    /// checks and metrics.
+    #[must_use]
+    pub fn reserved(mut self) -> Self {
+        self.is_reserved = true;
+        self
+    }
+
     /// Sets the budget, which the listeners of a process share.
     #[must_use]
     pub fn budget(mut self, budget: Budget) -> Self {
@@ -168,7 +179,8 @@
         stop: watch::Receiver<bool>,
     ) -> std::io::Result<()> {
         let listener = TcpListener::bind(self.address).await?;
-        let id = self.budget.add_listener(self.name, self.limits.max_connections);
+        let max_connections = self.limits.max_connections;
+        let id = self.budget.add_listener(self.name, max_connections, self.is_reserved);
         // Every connection holds a sender until its last request is answered.
         let (open_sender, mut open_receiver) = mpsc::channel::<()>(1);
         let mut stopping = stop.clone();
@@ -225,8 +237,8 @@
             lease.begin();
             request.extensions_mut().insert(lease.clone());
             let mut response = handler.handle(request).await;
-            lease.end(response.body().size_hint().lower() as usize);
-            if *is_stopping.borrow() {
+            let must_close = lease.end(response.body().size_hint().lower() as usize);
+            if must_close || *is_stopping.borrow() {
                 close_after(&mut response);
             }
             Ok::<_, std::convert::Infallible>(response)
--- a/src/listener/budget.rs
+++ b/src/listener/budget.rs
@@ -64,8 +64,13 @@
         }
     }
 
-    pub(super) fn add_listener(&self, name: &'static str, max_connections: usize) -> ListenerId {
-        self.ledger.lock().add_listener(name, max_connections)
+    pub(super) fn add_listener(
+        &self,
+        name: &'static str,
+        max_connections: usize,
+        is_reserved: bool,
+    ) -> ListenerId {
+        self.ledger.lock().add_listener(name, max_connections, is_reserved)
     }
 
     pub(super) fn open(
@@ -155,14 +160,14 @@
         self.budget.ledger.lock().take_body(self.id)
     }
 
-    /// Ends the request with a response of this size.
-    pub(super) fn end(&self, answer_bytes: usize) {
+    /// Ends the request with a response of this size; returns whether the connection has to end too.
+    pub(super) fn end(&self, answer_bytes: usize) -> bool {
         self.is_reading_body.store(false, Ordering::Relaxed);
         self.is_in_request.store(false, Ordering::Relaxed);
         self.head_bytes.store(0, Ordering::Relaxed);
         self.has_answer.store(true, Ordering::Relaxed);
         let now_ms = self.budget.timer.now_ms();
-        self.budget.ledger.lock().hold_answer(self.id, answer_bytes, now_ms);
+        self.budget.ledger.lock().hold_answer(self.id, answer_bytes, now_ms)
     }
 
     /// Releases responses that have been written.
--- a/src/listener/ledger.rs
+++ b/src/listener/ledger.rs
@@ -7,6 +7,7 @@
 use derive_more::{Display, Error};
 use tokio::sync::oneshot;
 
+use super::entry::{Entry, grown_capacity};
 use super::parts::{Need, Parts, Share};
 
 /// Result of taking bytes.
@@ -20,14 +21,6 @@
 pub const SMALL_BYTES: usize = 16 << 10;
 /// Bytes of a body that count as progress; a client that sends less appears to stand still.
 const PROGRESS_BYTES: usize = 4 << 10;
-/// Smallest capacity of the buffer for a body, in bytes.
-const MIN_BODY_CAPACITY: usize = 1 << 10;
-/// Capacity up to which that buffer doubles, in bytes; beyond it grows by this much, so that what
-/// it costs stays near what has arrived.
-const MAX_DOUBLED_CAPACITY: usize = 64 << 10;
-/// Time after its last response for which a connection isn't closed to admit another one, in
-/// milliseconds. Its client is likely to send the next request meanwhile.
-const RECENT_MS: u64 = 500;
 
 /// Why bytes or a connection were refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
@@ -63,50 +56,12 @@
     pub closed: u64,
 }
 
-#[derive(Debug)]
-struct Entry {
-    listener: ListenerId,
-    peer: IpAddr,
-    // Position in the order of progress.
-    progress: u64,
-    // Bytes of the body since its last progress.
-    unmarked_bytes: usize,
-    head_bytes: usize,
-    body: Vec<u8>,
-    // Capacity of the body, also after it was taken.
-    body_bytes: usize,
-    answer_bytes: usize,
-    // Whether a request was read in full and has no response yet.
-    is_serving: bool,
-    answered_ms: u64,
-    // Dropped with the entry, which tells the connection.
-    _eviction: oneshot::Sender<()>,
-}
-
-impl Entry {
-    fn held_bytes(&self) -> usize {
-        self.head_bytes + self.body_bytes + self.answer_bytes
-    }
-
-    fn held(&self) -> Parts {
-        Parts::of_connection(self.held_bytes())
-    }
-
-    fn can_be_closed_for(&self, need: Need) -> bool {
-        let is_useful = match need {
-            Need::Small => true,
-            Need::Large => self.held().large > 0,
-            Need::Connection { listener, now_ms } => {
-                self.listener == listener && now_ms >= self.answered_ms + RECENT_MS
-            }
-        };
-        is_useful && !self.is_serving
-    }
-}
-
 #[derive(Debug)]
 struct Listener {
     max_connections: usize,
+    is_reserved: bool,
+    // Refused connections for which none has been given up since.
+    wanted_connections: usize,
     report: Report,
 }
 
@@ -139,10 +94,17 @@
         }
     }
 
-    /// Adds a listener with a maximum number of concurrent connections.
-    pub fn add_listener(&mut self, name: &'static str, max_connections: usize) -> ListenerId {
+    /// Adds a listener with a maximum number of concurrent connections. Those of a reserved one are
+    /// accepted also when the part for connections is full.
+    pub fn add_listener(
+        &mut self,
+        name: &'static str,
+        max_connections: usize,
+        is_reserved: bool,
+    ) -> ListenerId {
         let report = Report { listener: name, ..Report::default() };
-        self.listeners.push(Listener { max_connections, report });
+        let wanted_connections = 0;
+        self.listeners.push(Listener { max_connections, is_reserved, wanted_connections, report });
         ListenerId(self.listeners.len() - 1)
     }
 
@@ -160,6 +122,7 @@
         let result = self.try_open(listener, peer, now_ms);
         if result.is_err() {
             self.report_mut(listener).refused += 1;
+            self.listeners[listener.0].wanted_connections += 1;
         }
         result
     }
@@ -180,7 +143,10 @@
             self.evict(victim);
         }
         let held = Parts::of_connection(0);
-        self.make_room(held, None)?;
+        let has_room = self.make_room(held, None);
+        if !self.listeners[listener.0].is_reserved {
+            has_room?;
+        }
         let (eviction, evicted) = oneshot::channel();
         let entry = Entry {
             listener,
@@ -290,8 +256,9 @@
     }
 
     /// Replaces the bytes of a request by those of its response, for which room is made where it
-    /// can be: a response that is ready is delivered.
-    pub fn hold_answer(&mut self, id: ConnectionId, bytes: usize, now_ms: u64) {
+    /// can be: a response that is ready is delivered. Returns whether the connection has to end with
+    /// it, since another one was refused.
+    pub fn hold_answer(&mut self, id: ConnectionId, bytes: usize, now_ms: u64) -> bool {
         let number = self.next_number();
         self.update(id, |entry| {
             (entry.head_bytes, entry.body_bytes) = (0, 0);
@@ -300,7 +267,8 @@
             entry.unmarked_bytes = 0;
             (entry.progress, entry.answered_ms) = (number, now_ms);
         });
-        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let Some(entry) = self.entries.get_mut(&id) else { return true };
+        let listener = entry.listener;
         // Making room must not close the connection itself.
         entry.is_serving = true;
         let added = self.parts_added(id, bytes);
@@ -309,6 +277,10 @@
             entry.answer_bytes += bytes;
             entry.is_serving = false;
         });
+        let listener = &mut self.listeners[listener.0];
+        let is_wanted = listener.wanted_connections > 0;
+        listener.wanted_connections = listener.wanted_connections.saturating_sub(1);
+        is_wanted
     }
 
     /// Releases the bytes of responses that have been written.
@@ -447,12 +419,3 @@
         self.shares.entry((listener, peer)).or_default().held.subtract(parts);
     }
 }
-
-fn grown_capacity(capacity: usize, length: usize, max_length: usize) -> usize {
-    let grown = match capacity {
-        0 => MIN_BODY_CAPACITY,
-        1..MAX_DOUBLED_CAPACITY => capacity * 2,
-        _ => capacity + MAX_DOUBLED_CAPACITY,
-    };
-    grown.min(max_length).max(length)
-}
--- a/tests/load_crowd.rs
+++ b/tests/load_crowd.rs
@@ -22,7 +22,7 @@
 impl Scene {
     fn new() -> Self {
         let mut ledger = Ledger::new(MAX_BYTES);
-        let listener = ledger.add_listener("test", MAX_CONNECTIONS);
+        let listener = ledger.add_listener("test", MAX_CONNECTIONS, false);
         Self { ledger, listener, evictions: Vec::new() }
     }
 
@@ -165,6 +165,23 @@
     assert!(!scene.ledger.contains(silent[1]));
 }
 
+/// Connections that always have a request in service, as with pipelined ones: each refused newcomer
+/// ends one of them after its answer, and health checks are accepted all the while.
+#[test]
+fn busy_connections_end_for_refused_ones() {
+    let mut scene = Scene::new();
+    let health = scene.ledger.add_listener("health", 10, true);
+    let busy = scene.crowd(MAX_CONNECTIONS, 1, SMALL_BYTES, 1_024);
+    let busy: Vec<_> = busy.into_iter().filter(|id| scene.ledger.take_body(*id).is_ok()).collect();
+    assert_eq!(scene.open(2, LATER_MS), Err(Refusal::Full));
+    let peer = IpAddr::from([10, 0, 0, 3]);
+    scene.ledger.open(health, peer, LATER_MS).expect("a reserved connection");
+    assert!(scene.ledger.hold_answer(busy[0], 0, LATER_MS));
+    scene.ledger.close(busy[0]);
+    assert!(!scene.ledger.hold_answer(busy[1], 0, LATER_MS));
+    scene.open(2, LATER_MS).expect("a connection");
+}
+
 /// The crowd leaves.
 #[test]
 fn nothing_is_held_after_the_crowd_has_left() {
@@ -186,7 +203,7 @@
     const WORKERS: usize = 1_000;
     const HEARTBEAT_BYTES: usize = 42 << 10;
     let mut ledger = Ledger::new((256 << 20) / 3);
-    let listener = ledger.add_listener("test", 2 * WORKERS);
+    let listener = ledger.add_listener("test", 2 * WORKERS, false);
     for worker in 0..WORKERS {
         let peer = IpAddr::from([10, 1, (worker / 200) as u8, (worker % 200) as u8]);
         let (id, _evicted) = ledger.open(listener, peer, 0).expect("a connection");
