--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -113,6 +113,13 @@
         self.accelerators = self.accelerators.saturating_add(demand.accelerators);
     }
 
+    /// Takes what is owed out of these resources, as far as they go.
+    pub fn settle(&mut self, owed: &mut Self) {
+        let available = *self;
+        self.subtract(owed, false);
+        owed.subtract(&available, false);
+    }
+
     /// Number of tasks with this demand that fit.
     pub fn count_fitting(&self, demand: &Self, is_filler: bool) -> u64 {
         let ratio = |available: u64, needed: u64| available.checked_div(needed).unwrap_or(u64::MAX);
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -5,6 +5,7 @@
 mod allocation;
 mod candidate;
 mod evict;
+mod foresight;
 mod outlook;
 mod preference;
 mod reserve;
@@ -19,7 +20,8 @@
 use allocation::Allocation;
 use candidate::Class;
 pub use candidate::{Candidate, candidates, startable_tasks};
-use evict::Evictor;
+use evict::{Evictor, Selection};
+use foresight::Ending;
 use outlook::Release;
 
 /// Age at which a pending eviction expires and its capacity is no longer held, in milliseconds. An
@@ -96,6 +98,8 @@
     pub explanations: Vec<Explanation>,
     /// Number of candidates that still wait.
     pub waiting: usize,
+    /// Number of these that wait for runs to end instead of stopping others.
+    pub promised: usize,
     /// Whether the decision was cut short, so that the next one is due at once.
     pub is_cut_short: bool,
     /// Number of candidates that are too late for their result to be of use.
@@ -128,6 +132,10 @@
     utilization: BTreeMap<&'a str, f64>,
     // What the runs on each worker are expected to free; worked out when it is first needed.
     releases: Vec<OnceCell<Vec<Release>>>,
+    // Like `releases`, as far as stops can be spared for them.
+    endings: Vec<OnceCell<Vec<Ending>>>,
+    // What was withdrawn from each worker beyond its free capacity: it is taken from what its runs free.
+    owed: Vec<Resources>,
 }
 
 impl<'a> Cluster<'a> {
@@ -151,7 +159,9 @@
         let share = |(free, total): (u64, u64)| 1.0 - free as f64 / total.max(1) as f64;
         let utilization = sums.into_iter().map(|(pool, sum)| (pool, share(sum))).collect();
         let releases = workers.iter().map(|_| OnceCell::new()).collect();
-        Self { view, workers, racks, utilization, releases }
+        let endings = workers.iter().map(|_| OnceCell::new()).collect();
+        let owed = vec![Resources::default(); workers.len()];
+        Self { view, workers, racks, utilization, releases, endings, owed }
     }
 
     // Share of a pool's accelerators (or cores, if it has none) that is in use.
@@ -165,10 +175,24 @@
 
     fn allocate(&mut self, worker: usize, demand: &Resources, is_filler: bool, count: u64) {
         for _ in 0..count {
-            self.workers[worker].free.subtract(demand, is_filler);
+            let mut missing = *demand;
+            if is_filler {
+                missing.cpu_milli = 0;
+            }
+            self.workers[worker].free.settle(&mut missing);
+            self.owed[worker].add(&missing, false);
         }
         self.workers[worker].runs += count;
     }
+
+    // Runs on a worker that are expected to end by a wall time, in milliseconds.
+    fn endings_until(&self, worker: usize, until_ms: u64) -> &[Ending] {
+        if until_ms == 0 {
+            return &[];
+        }
+        let endings = self.endings[worker].get_or_init(|| foresight::endings_on(self, worker));
+        &endings[..endings.partition_point(|ending| ending.at_ms <= until_ms)]
+    }
 }
 
 /// Groups of workers, each of which may hold the whole step: racks if the step is bound to one,
@@ -267,11 +291,14 @@
                 continue;
             }
             let may_evict = allocation.is_empty() && candidate.may_evict(&view);
-            if let Some(slots) = may_evict.then(|| decision.evict(candidate)).flatten() {
-                self.evictions.insert(candidate.id, Eviction { started_ms: view.now_ms, slots });
-                continue;
+            match may_evict.then(|| decision.make_room(candidate)).flatten() {
+                Some(selection) if selection.runs.is_empty() => decision.plan.promised += 1,
+                Some(Selection { slots, .. }) => {
+                    let eviction = Eviction { started_ms: view.now_ms, slots };
+                    self.evictions.insert(candidate.id, eviction);
+                }
+                None => decision.reserve(candidate),
             }
-            decision.reserve(candidate);
         }
         decision.plan
     }
@@ -334,21 +361,33 @@
         self.plan.is_cut_short = true;
     }
 
-    // Evicts runs for a step and holds the capacity that they free.
-    fn evict(&mut self, candidate: &Candidate<'_>) -> Option<BTreeMap<String, u64>> {
+    // Holds capacity for a step that other runs free: soon by themselves, or because they are evicted.
+    fn make_room(&mut self, candidate: &Candidate<'_>) -> Option<Selection> {
         if self.eviction_searches >= MAX_EVICTION_SEARCHES {
             return None;
         }
-        self.eviction_searches += 1;
-        let found = self.evictor.find(&self.cluster, candidate)?;
+        let found = self.evictor.find(&self.cluster, candidate);
+        let is_promise = found.as_ref().is_some_and(|found| found.runs.is_empty());
+        if !is_promise {
+            self.eviction_searches += 1;
+        }
+        let found = found?;
+        hold_capacity(&mut self.cluster, candidate, &found.slots);
+        for (worker, demand) in &found.freed {
+            if let Some(at) = self.cluster.position(worker) {
+                self.cluster.owed[at].subtract(demand, false);
+            }
+        }
+        if is_promise {
+            return Some(found);
+        }
         let is_guarantee_due = candidate.is_guarantee_due(&self.view);
         let reason =
             if is_guarantee_due { "reclaims its guarantee" } else { "stops less urgent runs" };
         let explanation = candidate.explain(&self.view, 0, reason);
         self.plan.explanations.push(Explanation { evicted: found.runs.clone(), ..explanation });
-        self.plan.round.stops.extend(found.runs);
-        hold_capacity(&mut self.cluster, candidate, &found.slots);
-        Some(found.slots)
+        self.plan.round.stops.extend(found.runs.iter().copied());
+        Some(found)
     }
 
     // Reserves capacity for a gang ahead of the less urgent candidates that follow.
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -10,7 +10,7 @@
 const EXPIRY_FACTOR: u64 = 3;
 /// Time between a decision to evict and the start in the freed capacity, in milliseconds: a
 /// heartbeat of the victim's worker, the stop of the victim, and one more heartbeat.
-const EVICTION_MS: u64 = 900;
+pub(super) const EVICTION_MS: u64 = 900;
 /// Constant part of an urgent job's eviction budget, in core-milliseconds; its own work is added.
 /// Without it the budget of a small job would shrink to almost nothing.
 const BASE_EVICTION_BUDGET_CORE_MS: u64 = 800_000;
--- a/src/batch/plan/evict/index.rs
+++ b/src/batch/plan/evict/index.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::super::{Candidate, View, candidate};
+use super::super::{Candidate, View, candidate, foresight};
 use crate::batch::job::{Job, Resources, Step, TaskId, active_runs};
 
 /// Cost of a stop in addition to the lost work, in core-milliseconds: the task has to wait for
@@ -14,6 +14,9 @@
 /// Additional cost of stopping a run that yields only to a guarantee, in core-milliseconds: more than any
 /// other work on the workers is worth, so that it is the last to go.
 const LAST_RESORT_COST_CORE_MS: u64 = 1 << 40;
+/// Additional cost of stopping a run whose task was stopped often enough, in core-milliseconds: it yields
+/// only to a guarantee, before urgent work does.
+const EXEMPT_COST_CORE_MS: u64 = LAST_RESORT_COST_CORE_MS / 2;
 /// Progress of a long-running task that is operating, in percent.
 const OPERATING_PERCENT: u8 = 100;
 
@@ -47,6 +50,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Allocation {
     pub(super) victim: usize,
+    pub(super) task: TaskId,
     pub(super) demand: Resources,
     pub(super) is_filler: bool,
 }
@@ -136,8 +140,15 @@
             let next = self.victims.len();
             let at = if step.is_gang { *gangs.entry(step_id).or_insert(next) } else { next };
             if at == next {
-                let is_last_resort = step.is_lasting || job.terms.priority == 0;
-                let least_cost_core_ms = if is_last_resort { LAST_RESORT_COST_CORE_MS } else { 0 };
+                let is_irreplaceable = step.is_lasting || job.terms.priority == 0;
+                let least_cost_core_ms = if is_irreplaceable {
+                    LAST_RESORT_COST_CORE_MS
+                } else if foresight::is_exempt(run) {
+                    EXEMPT_COST_CORE_MS
+                } else {
+                    0
+                };
+                let is_last_resort = least_cost_core_ms > 0;
                 self.victims.push(Victim {
                     runs: Vec::new(),
                     priority: job.terms.priority,
@@ -163,6 +174,7 @@
             let allocations = self.allocations.entry(run.worker.as_str()).or_default();
             allocations.push(Allocation {
                 victim: at,
+                task,
                 demand: step.demand,
                 is_filler: step.is_filler,
             });
--- /dev/null
+++ b/src/batch/plan/foresight.rs
@@ -0,0 +1,85 @@
+//! Foresight before stops: how long a step waits for room that frees by itself, which runs are
+//! expected to end by then, and which ones have been stopped often enough.
+
+use super::{Candidate, Cluster, View, candidate, outlook};
+use crate::batch::job::{Job, Resources, Run, Step, TaskId};
+
+/// Divisor of a step's slack that gives the time for which it waits for runs to end. The rest is left
+/// for stops in time if the runs take longer than expected.
+const PATIENCE_DIVISOR: u64 = 2;
+/// Divisor of the expected run time from which on a run's own progress is relied on. Before that, the
+/// later one of both expected ends counts.
+const RELIABLE_PROGRESS_DIVISOR: u64 = 4;
+/// Maximum number of runs of a task that are stopped for urgent work: its caller has waited for all of
+/// them. Only guarantees stop further ones.
+const MAX_STOPPED_RUNS: u32 = 3;
+/// Number of runs on a worker above which their ends are not worked out; bounds the time that a
+/// decision takes.
+const MAX_RUNS_FORESEEN: u64 = 256;
+
+/// Resources that a run is expected to free by ending.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ending {
+    /// Expected time of the end, on the wall clock, in milliseconds.
+    pub(super) at_ms: u64,
+    pub(super) task: TaskId,
+    pub(super) demand: Resources,
+    pub(super) is_filler: bool,
+}
+
+/// Wall time until which a step waits for room that frees by itself instead of stopping runs; `None`
+/// if it doesn't wait.
+pub(super) fn waits_until_ms(view: &View<'_>, candidate: &Candidate<'_>) -> Option<u64> {
+    if candidate.is_guarantee_due(view) {
+        return None;
+    }
+    let latest_start_ms = candidate.deadline_ms.saturating_sub(candidate.remaining_ms);
+    let slack_ms = latest_start_ms.saturating_sub(view.wall_ms);
+    // Room made by a stop isn't free any earlier.
+    let patience_ms = (slack_ms / PATIENCE_DIVISOR).max(candidate::EVICTION_MS);
+    Some(view.wall_ms.saturating_add(patience_ms))
+}
+
+/// Whether so many runs of a task were started before this one that it is not stopped for urgent work.
+pub(super) fn is_exempt(run: &Run) -> bool {
+    run.number > MAX_STOPPED_RUNS
+}
+
+/// Expected ends of the runs on a worker, earliest first.
+pub(super) fn endings_on(cluster: &Cluster<'_>, at: usize) -> Vec<Ending> {
+    let view = &cluster.view;
+    let worker = &cluster.workers[at];
+    let mut endings = Vec::new();
+    if worker.runs > MAX_RUNS_FORESEEN {
+        return endings;
+    }
+    for (task, run) in view.table.runs_on(worker.name) {
+        let Some(job) = view.table.live.get(&task.job) else { continue };
+        let step = &job.spec.steps[task.step as usize];
+        if step.is_lasting {
+            continue;
+        }
+        let left_ms = left_ms(cluster, at, task, run, (job, step));
+        let at_ms = view.wall_ms.saturating_add(left_ms);
+        let (demand, is_filler) = (step.demand, step.is_filler);
+        endings.push(Ending { at_ms, task: *task, demand, is_filler });
+    }
+    endings.sort_by_key(|ending| ending.at_ms);
+    endings
+}
+
+fn left_ms(
+    cluster: &Cluster<'_>,
+    at: usize,
+    task: &TaskId,
+    run: &Run,
+    (job, step): (&Job, &Step),
+) -> u64 {
+    let left_ms = outlook::left_ms(cluster, at, task, run, (job, step));
+    let ran_ms = cluster.view.wall_ms.saturating_sub(run.placed_ms);
+    let run_ms = candidate::run_ms(&cluster.view, job, step);
+    if run.is_stopping || ran_ms >= run_ms / RELIABLE_PROGRESS_DIVISOR {
+        return left_ms;
+    }
+    left_ms.max(run_ms - ran_ms)
+}
