--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -21,7 +21,7 @@
 use candidate::Class;
 pub use candidate::{Candidate, candidates, startable_tasks};
 use evict::{Evictor, Selection};
-use foresight::Ending;
+use foresight::{Ending, Keeps};
 use outlook::Release;
 
 /// Age at which a pending eviction expires and its capacity is no longer held, in milliseconds. An
@@ -112,6 +112,7 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     evictions: BTreeMap<StepId, Eviction>,
+    keeps: Keeps,
 }
 
 /// A pending eviction: capacity that is held for a step until the evicted runs have stopped.
@@ -136,10 +137,12 @@
     endings: Vec<OnceCell<Vec<Ending>>>,
     // What was withdrawn from each worker beyond its free capacity: it is taken from what its runs free.
     owed: Vec<Resources>,
+    // Workers whose room goes to urgent work only.
+    kept: Vec<bool>,
 }
 
 impl<'a> Cluster<'a> {
-    fn new(view: View<'a>) -> Self {
+    fn new(view: View<'a>, keeps: &Keeps) -> Self {
         let workers = view.fleet.workers(view.table, view.now_ms);
         let mut racks: BTreeMap<_, Vec<usize>> = BTreeMap::new();
         let mut sums: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
@@ -161,7 +164,8 @@
         let releases = workers.iter().map(|_| OnceCell::new()).collect();
         let endings = workers.iter().map(|_| OnceCell::new()).collect();
         let owed = vec![Resources::default(); workers.len()];
-        Self { view, workers, racks, utilization, releases, endings, owed }
+        let kept = workers.iter().map(|worker| keeps.contains(worker.name, view.now_ms)).collect();
+        Self { view, workers, racks, utilization, releases, endings, owed, kept }
     }
 
     // Share of a pool's accelerators (or cores, if it has none) that is in use.
@@ -185,6 +189,11 @@
         self.workers[worker].runs += count;
     }
 
+    // Whether the room on a worker is kept for more urgent work than this.
+    fn is_kept_from(&self, worker: usize, candidate: &Candidate<'_>) -> bool {
+        self.kept[worker] && candidate.job.terms.priority > 0 && !candidate.step.is_lasting
+    }
+
     // Runs on a worker that are expected to end by a wall time, in milliseconds.
     fn endings_until(&self, worker: usize, until_ms: u64) -> &[Ending] {
         if until_ms == 0 {
@@ -256,7 +265,8 @@
     pub fn decide(&mut self, view: View<'_>) -> Plan {
         let candidates = candidates(&view);
         self.remove_stale_evictions(view.now_ms, &candidates);
-        let mut decision = Decision::new(view);
+        self.keeps.remove_expired(view.now_ms);
+        let mut decision = Decision::new(view, &self.keeps);
         decision.plan.expired = candidates.iter().filter(|candidate| candidate.is_expired).count();
         for (at, candidate) in candidates.iter().enumerate() {
             let starts_left = MAX_STARTS.saturating_sub(decision.plan.round.starts.len());
@@ -293,7 +303,9 @@
             let may_evict = allocation.is_empty() && candidate.may_evict(&view);
             match may_evict.then(|| decision.make_room(candidate)).flatten() {
                 Some(selection) if selection.runs.is_empty() => decision.plan.promised += 1,
-                Some(Selection { slots, .. }) => {
+                Some(Selection { slots, freed, .. }) => {
+                    let workers = freed.into_iter().map(|(worker, _)| worker);
+                    self.keeps.extend(workers, view.now_ms);
                     let eviction = Eviction { started_ms: view.now_ms, slots };
                     self.evictions.insert(candidate.id, eviction);
                 }
@@ -333,8 +345,8 @@
 }
 
 impl<'a> Decision<'a> {
-    fn new(view: View<'a>) -> Self {
-        let cluster = Cluster::new(view);
+    fn new(view: View<'a>, keeps: &Keeps) -> Self {
+        let cluster = Cluster::new(view, keeps);
         let utilization =
             cluster.utilization.iter().map(|(pool, share)| (pool.to_string(), *share));
         let plan = Plan { utilization: utilization.collect(), ..Plan::default() };
--- a/src/batch/plan/allocation.rs
+++ b/src/batch/plan/allocation.rs
@@ -160,7 +160,7 @@
     let mut slots = Vec::new();
     for at in members {
         let worker = &cluster.workers[*at];
-        if !is_eligible(candidate, worker) {
+        if !is_eligible(candidate, worker) || cluster.is_kept_from(*at, candidate) {
             continue;
         }
         let count = worker
--- a/src/batch/plan/foresight.rs
+++ b/src/batch/plan/foresight.rs
@@ -1,6 +1,8 @@
 //! Foresight before stops: how long a step waits for room that frees by itself, which runs are
 //! expected to end by then, and which ones have been stopped often enough.
 
+use std::collections::BTreeMap;
+
 use super::{Candidate, Cluster, View, candidate, outlook};
 use crate::batch::job::{Job, Resources, Run, Step, TaskId};
 
@@ -17,6 +19,32 @@
 /// decision takes.
 const MAX_RUNS_FORESEEN: u64 = 256;
 
+/// Time for which the room on a worker is kept for urgent work after a run was stopped there, in
+/// milliseconds: urgent work comes in bursts of several seconds, and what starts meanwhile would be the
+/// next to be stopped.
+const KEEP_MS: u64 = 4_000;
+
+/// Workers on which runs were stopped for urgent work a short time ago.
+#[derive(Debug, Default)]
+pub(super) struct Keeps(BTreeMap<String, u64>);
+
+impl Keeps {
+    /// Whether the room on a worker is kept.
+    pub(super) fn contains(&self, worker: &str, now_ms: u64) -> bool {
+        self.0.get(worker).is_some_and(|until_ms| now_ms < *until_ms)
+    }
+
+    /// Adds workers on which runs are stopped now.
+    pub(super) fn extend(&mut self, workers: impl Iterator<Item = String>, now_ms: u64) {
+        self.0.extend(workers.map(|worker| (worker, now_ms + KEEP_MS)));
+    }
+
+    /// Drops the workers that are kept no longer.
+    pub(super) fn remove_expired(&mut self, now_ms: u64) {
+        self.0.retain(|_, until_ms| now_ms < *until_ms);
+    }
+}
+
 /// Resources that a run is expected to free by ending.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Ending {
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -169,10 +169,10 @@
         return;
     }
     control.dispatch.load_logged_at_ms.store(now_ms, Ordering::Relaxed);
-    let (waiting, hopeless) = (plan.waiting, plan.expired);
+    let (waiting, hopeless, promised) = (plan.waiting, plan.expired, plan.promised);
     for (pool, used_fraction) in &plan.utilization {
         let percent = (used_fraction * 100.0) as u64;
-        tracing::info!(target: DECISION, pool, used_percent = percent, waiting, hopeless, "load");
+        tracing::info!(target: DECISION, pool, used_percent = percent, waiting, hopeless, promised, "load");
     }
 }
 
