--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -188,20 +188,6 @@
         }
         self.workers[worker].runs += count;
     }
-
-    // Whether the room on a worker is kept for more urgent work than this.
-    fn is_kept_from(&self, worker: usize, candidate: &Candidate<'_>) -> bool {
-        self.kept[worker] && candidate.job.terms.priority > 0 && !candidate.step.is_lasting
-    }
-
-    // Runs on a worker that are expected to end by a wall time, in milliseconds.
-    fn endings_until(&self, worker: usize, until_ms: u64) -> &[Ending] {
-        if until_ms == 0 {
-            return &[];
-        }
-        let endings = self.endings[worker].get_or_init(|| foresight::endings_on(self, worker));
-        &endings[..endings.partition_point(|ending| ending.at_ms <= until_ms)]
-    }
 }
 
 /// Groups of workers, each of which may hold the whole step: racks if the step is bound to one,
--- a/src/batch/plan/allocation.rs
+++ b/src/batch/plan/allocation.rs
@@ -1,6 +1,6 @@
 //! Allocation of free capacity to the tasks of one step.
 
-use super::{Candidate, Cluster, preference};
+use super::{Candidate, Cluster, foresight, preference};
 use crate::batch::fleet::Worker;
 use crate::batch::job::State;
 
@@ -160,7 +160,7 @@
     let mut slots = Vec::new();
     for at in members {
         let worker = &cluster.workers[*at];
-        if !is_eligible(candidate, worker) || cluster.is_kept_from(*at, candidate) {
+        if !is_eligible(candidate, worker) || foresight::is_kept_from(cluster, *at, candidate) {
             continue;
         }
         let count = worker
--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -232,7 +232,7 @@
     let mut budget = Budget::new(&index.quotas);
     let allocations = index.allocations.get(worker.name).map_or(&[][..], Vec::as_slice);
     let allocations = if terms.may_evict { allocations } else { &[] };
-    let endings = cluster.endings_until(at, terms.until_ms);
+    let endings = foresight::endings_until(cluster, at, terms.until_ms);
     let mut evictable = allocations.iter().filter(|allocation| {
         !evicted.contains(&allocation.victim)
             && !endings.iter().any(|ending| ending.task == allocation.task)
--- a/src/batch/plan/foresight.rs
+++ b/src/batch/plan/foresight.rs
@@ -73,8 +73,26 @@
     run.number > MAX_STOPPED_RUNS
 }
 
-/// Expected ends of the runs on a worker, earliest first.
-pub(super) fn endings_on(cluster: &Cluster<'_>, at: usize) -> Vec<Ending> {
+/// Whether the room on a worker is kept for more urgent work than this.
+pub(super) fn is_kept_from(cluster: &Cluster<'_>, at: usize, candidate: &Candidate<'_>) -> bool {
+    cluster.kept[at] && candidate.job.terms.priority > 0 && !candidate.step.is_lasting
+}
+
+/// Runs on a worker that are expected to end by a wall time, in milliseconds; none if that is 0.
+pub(super) fn endings_until<'a>(
+    cluster: &'a Cluster<'_>,
+    at: usize,
+    until_ms: u64,
+) -> &'a [Ending] {
+    if until_ms == 0 {
+        return &[];
+    }
+    let endings = cluster.endings[at].get_or_init(|| endings_on(cluster, at));
+    &endings[..endings.partition_point(|ending| ending.at_ms <= until_ms)]
+}
+
+// Expected ends of the runs on a worker, earliest first.
+fn endings_on(cluster: &Cluster<'_>, at: usize) -> Vec<Ending> {
     let view = &cluster.view;
     let worker = &cluster.workers[at];
     let mut endings = Vec::new();
--- a/tests/load_foresight.rs
+++ b/tests/load_foresight.rs
@@ -82,9 +82,7 @@
         let workers = (0..self.workers).map(|index| format!("w{index}"));
         let mut runs = Vec::new();
         for worker in workers {
-            runs.extend(
-                self.harness.table.runs_on(&worker).map(|(task, run)| (*task, run.number)),
-            );
+            runs.extend(self.harness.table.runs_on(&worker).map(|(task, run)| (*task, run.number)));
         }
         runs
     }
