--- a/examples/batch.rs
+++ b/examples/batch.rs
@@ -16,6 +16,8 @@
 const FLEET_SIZES: [usize; 4] = [48, 200, 490, 3_000];
 /// Decisions and heartbeats measured at each fleet size.
 const SAMPLES: usize = 300;
+/// Customers that submit jobs in turn.
+const CUSTOMERS: u64 = 10;
 /// Duration of a worker's lease.
 const LEASE_MS: u64 = 6_000;
 /// Time between two decisions.
@@ -136,7 +138,7 @@
         let submission = Submission {
             id: Id(id),
             queue: queue.into(),
-            customer: String::new(),
+            customer: format!("customer {}", id % CUSTOMERS),
             terms: found.expect("the queue exists").terms.clone(),
             spec: Spec { payload: "text".into(), steps: vec![step], schedule: None },
         };
