--- a/src/listener.rs
+++ b/src/listener.rs
@@ -66,12 +66,6 @@
 pub trait Service: Send + Sync + 'static {
     /// Answers one request.
     fn answer(&self, request: Request<Bytes>) -> impl Future<Output = Response<Bytes>> + Send;
-
-    /// Maximum size of the body of a request for this path, in bytes, where it is below the limit of
-    /// the listener.
-    fn max_body_bytes(&self, _path: &str) -> usize {
-        usize::MAX
-    }
 }
 
 /// Answers requests whose bodies have not been read yet; the handler limits the bodies itself.
@@ -285,8 +279,7 @@
     let Some(lease) = head.extensions.remove::<Arc<Lease>>() else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE);
     };
-    let max_bytes = limits.max_body_bytes.min(service.max_body_bytes(head.uri.path()));
-    if body.size_hint().lower() > max_bytes as u64 {
+    if body.size_hint().lower() > limits.max_body_bytes as u64 {
         return refuse(StatusCode::PAYLOAD_TOO_LARGE);
     }
     if body.is_end_stream() {
@@ -294,7 +287,7 @@
     }
     lease.begin_body();
     let read = tokio::select! {
-        read = tokio::time::timeout(limits.body_timeout, read_body(&lease, body, max_bytes)) => read,
+        read = tokio::time::timeout(limits.body_timeout, read_body(&lease, body, limits.max_body_bytes)) => read,
         () = lease.wait_until_refused() => Ok(Err(StatusCode::SERVICE_UNAVAILABLE)),
     };
     match read {
