--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -9,13 +9,16 @@
 mod presumed;
 mod progress;
 mod session;
+mod throttling;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::estimate::Estimates;
 use super::job::{Id, Progress, Resources, TaskId};
 use super::pace::Rate;
+use super::speed::Location;
 use super::table::{self, End, Table};
+use super::throttle;
 use super::worker::{Exit, Heartbeat, Stamp};
 use leave::Leave;
 use pending::Ends;
@@ -70,6 +73,13 @@
     pub is_open: bool,
 }
 
+impl<'a> Worker<'a> {
+    /// Where the worker is.
+    pub fn location(&self) -> Location<'a> {
+        Location { zone: self.zone, rack: self.rack, worker: self.name }
+    }
+}
+
 /// Result of receiving a heartbeat.
 #[derive(Debug, Default, PartialEq)]
 pub struct Receipt {
@@ -99,6 +109,7 @@
     begun: BTreeSet<Id>,
     // When every lease that an earlier leader granted has expired.
     takeover_until_ms: u64,
+    throttle_times: throttle::Times,
 }
 
 impl Fleet {
@@ -107,6 +118,12 @@
         Self { term, ..Self::default() }
     }
 
+    /// Sets the timing by which tasks that fill workers are paced.
+    #[must_use]
+    pub fn with_throttle_times(self, throttle_times: throttle::Times) -> Self {
+        Self { throttle_times, ..self }
+    }
+
     /// Term of the leader whose view this is.
     pub fn term(&self) -> u64 {
         self.term
@@ -136,6 +153,7 @@
             // The announced leave was that of an earlier incarnation.
             self.leaving.remove(&worker);
             let mut session = Session::new(heartbeat.clone(), now_ms, lease_until_ms);
+            session.resume_pace(table, now_ms);
             if let Some(previous) = self.sessions.get(&worker) {
                 session.former.add(&previous.heartbeat, &previous.former, table);
             }
@@ -153,6 +171,7 @@
         let ends = session.ends_in(&heartbeat, table);
         session.update_health(&heartbeat, &ends, table, now_ms);
         session.update(heartbeat, now_ms, lease_until_ms);
+        session.update_throttle(table, self.throttle_times, now_ms);
         self.presumed.extend(&session.heartbeat, lease_until_ms);
         ends.iter().for_each(|end| self.pending_ends.add(end.clone()));
         self.record_begun(&worker, table);
@@ -193,8 +212,21 @@
         self.sessions.get(worker)
     }
 
-    /// Returns the ends of runs whose workers' leases have expired, or that left, and of gangs' runs on
-    /// silent workers that must have ended there. The leases of workers that have sent this leader no
+    /// Updates the estimates with the runs of a worker whose pace its latest heartbeat has shown.
+    pub fn learn_paces(&mut self, worker: &str, table: &Table, estimates: &mut Estimates) {
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.learn_paces(table, estimates);
+        }
+    }
+
+    /// As [`Fleet::session`], to be changed.
+    pub fn session_mut(&mut self, worker: &str) -> Option<&mut Session> {
+        self.sessions.get_mut(worker)
+    }
+
+    /// Returns the ends of runs whose workers' leases have expired, or that left, and of runs on silent
+    /// workers that were never ordered there, or are of a gang and must have ended there. The leases of
+    /// workers that have sent this leader no
     /// heartbeat expire at `default_lease_until_ms`.
     pub fn lost_runs(&self, table: &Table, default_lease_until_ms: u64, now_ms: u64) -> Vec<End> {
         let mut ends = Vec::new();
@@ -210,7 +242,11 @@
                     Some(leave) => leave.is_over(now_ms),
                     None => now_ms >= lease_until_ms,
                 };
-                let has_ended = is_lost || (is_silent && table.has_ended_unreported(task, run));
+                let is_over = || {
+                    session.is_some_and(|known| known.is_unsent(task, run.number))
+                        || table.has_ended_unreported(task, run)
+                };
+                let has_ended = is_lost || (is_silent && is_over());
                 if !has_ended {
                     continue;
                 }
@@ -363,10 +399,11 @@
 
     /// Shortest interval between heartbeats of a worker, in milliseconds, at a rate for the whole fleet.
     /// The end of a run is still reported at once, and a worker that is unconfirmed, or has
-    /// unconfirmed runs, is not slowed down.
+    /// unconfirmed runs or tasks near their latency target, is not slowed down.
     pub fn min_heartbeat_interval_ms(&self, worker: &str, rate: Rate) -> u64 {
-        let may_be_slowed =
-            |session: &Session| session.is_confirmed() && !session.has_unconfirmed_runs;
+        let may_be_slowed = |session: &Session| {
+            session.is_confirmed() && !session.has_unconfirmed_runs && !session.is_strained()
+        };
         if self.session(worker).is_some_and(|session| !may_be_slowed(session)) {
             return 0;
         }
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -8,10 +8,12 @@
 use super::former::Former;
 use super::health::Health;
 use super::progress::Progress;
+use super::throttling::step_of;
 use super::{CLOCK_DRIFT_DIVISOR, MAX_REPORTED_ENDS, lapsed};
-use crate::batch::estimate::Estimates;
+use crate::batch::estimate::{Estimates, Kind};
 use crate::batch::job::{Resources, TaskId};
 use crate::batch::table::{End, Table};
+use crate::batch::throttle::{FULL_PERCENT, Throttle};
 use crate::batch::worker::{Exit, Heartbeat, Stamp};
 
 /// Time before a worker leaves at which its runs are stopped, in milliseconds: one round and one
@@ -50,6 +52,8 @@
     answered_ms: u64,
     // Runs placed by this leader.
     own_runs: BTreeSet<(TaskId, u32)>,
+    // Those of them whose start orders were never sent.
+    unsent_runs: BTreeSet<(TaskId, u32)>,
     // Start orders sent with the answer to the latest heartbeat.
     pub(super) sent_starts: BTreeSet<(TaskId, u32)>,
     // Heartbeats without the run after an answer with its start order, by run.
@@ -59,6 +63,13 @@
     pub(super) progress: BTreeMap<(TaskId, u32), Progress>,
     pub(super) health: Health,
     pub(super) former: Former,
+    pub(super) throttle: Throttle,
+    // Runs in progress that were slowed down at some time.
+    pub(super) paced_runs: BTreeSet<(TaskId, u32)>,
+    pub(super) has_new_pace: bool,
+    // Whether the latest heartbeat holds latencies, and when such ones were last learned from.
+    pub(super) is_serving: bool,
+    pub(super) latency_turn_ms: u64,
 }
 
 impl Session {
@@ -74,12 +85,18 @@
             answered_clock_ms: None,
             answered_ms: 0,
             own_runs: BTreeSet::new(),
+            unsent_runs: BTreeSet::new(),
             sent_starts: BTreeSet::new(),
             unheeded_starts: BTreeMap::new(),
             has_more_orders: false,
             progress: BTreeMap::new(),
             health: Health::default(),
             former,
+            throttle: Throttle::full(now_ms),
+            paced_runs: BTreeSet::new(),
+            has_new_pace: false,
+            is_serving: false,
+            latency_turn_ms: 0,
         }
     }
 
@@ -138,6 +155,19 @@
     // Records that this leader placed a run on the worker.
     pub(super) fn record_start(&mut self, task: TaskId, run: u32) {
         self.own_runs.insert((task, run));
+        self.unsent_runs.insert((task, run));
+    }
+
+    // Records the start orders in the answer to the latest heartbeat.
+    pub(super) fn record_orders(&mut self, starts: BTreeSet<(TaskId, u32)>) {
+        self.unsent_runs.retain(|run| !starts.contains(run));
+        self.sent_starts = starts;
+    }
+
+    // Whether the worker can't have begun a run, since it was placed by this leader and no start order
+    // was sent.
+    pub(super) fn is_unsent(&self, task: &TaskId, run: u32) -> bool {
+        self.unsent_runs.contains(&(*task, run))
     }
 
     // Forgets runs of this leader that have ended. One that the table does not have yet is about to
@@ -147,6 +177,8 @@
             let task = table.live.get(&name.job).and_then(|job| job.task(name));
             task.is_some_and(|task| task.runs < *run) || table.is_run_active(name, *run)
         });
+        let own_runs = &self.own_runs;
+        self.unsent_runs.retain(|run| own_runs.contains(run));
     }
 
     // Whether a heartbeat of a seemingly earlier incarnation may be one of a later incarnation, whose clock was
@@ -301,8 +333,9 @@
         next_ms
     }
 
-    // Expected time for a whole run of a task on this worker, in milliseconds.
-    pub(super) fn expected_run_ms(
+    /// Expected time for a whole run of a task on this worker, in milliseconds. Runs away from their data
+    /// take `remote_factor` times as long.
+    pub fn expected_run_ms(
         &self,
         task: &TaskId,
         table: &Table,
@@ -311,10 +344,34 @@
     ) -> u64 {
         let Some(job) = table.live.get(&task.job) else { return 0 };
         let Some(step) = job.spec.steps.get(task.step as usize) else { return 0 };
-        let run_ms = estimates.run_ms(&job.queue, step.estimate_ms) as f64;
+        let run_ms = estimates.task_ms(&Kind::of(job, step)) as f64;
         let is_remote = !step.data_rack.is_empty() && step.data_rack != self.heartbeat.rack;
         let factor = if is_remote { remote_factor } else { 1 };
-        ((run_ms * estimates.slowdown(&self.heartbeat.zone)) as u64).saturating_mul(factor)
+        let slowdown = estimates.slowdown_at(&self.heartbeat.location());
+        ((run_ms * slowdown) as u64).saturating_mul(factor)
+    }
+
+    // Updates the estimates with the runs whose pace has become known.
+    pub(super) fn learn_paces(&mut self, table: &Table, estimates: &mut Estimates) {
+        for ((task, _), progress) in &mut self.progress {
+            let Some(job) = table.live.get(&task.job) else { continue };
+            let Some(step) = job.spec.steps.get(task.step as usize) else { continue };
+            let is_remote = !step.data_rack.is_empty() && step.data_rack != self.heartbeat.rack;
+            // Fillers work at the pace that other tasks leave them.
+            if is_remote || step.is_filler {
+                continue;
+            }
+            let Some(whole_ms) = progress.take_whole_ms() else { continue };
+            let kind = Kind::of(job, step);
+            let location = self.heartbeat.location();
+            estimates.learn_pace(&kind, (task.job, task.step), &location, whole_ms);
+        }
+    }
+
+    /// Expected time until a run ends by its own pace, from the latest heartbeat on, in milliseconds;
+    /// `None` until its pace is known.
+    pub fn left_ms(&self, task: &TaskId, run: u32) -> Option<u64> {
+        self.progress.get(&(*task, run))?.left_ms()
     }
 
     pub(super) fn checkpoint(&self, task: &TaskId, run: u32) -> &str {
@@ -341,16 +398,17 @@
         let mut progress = BTreeMap::new();
         for row in &heartbeat.running {
             let key = (row.task, row.run);
-            let is_lasting = table.live.get(&row.task.job).is_some_and(|job| {
-                job.spec.steps.get(row.task.step as usize).is_some_and(|step| step.is_lasting)
-            });
+            let step = step_of(table, &row.task);
+            let is_lasting = step.is_some_and(|step| step.is_lasting);
+            let is_paced =
+                self.throttle.percent() < FULL_PERCENT && step.is_some_and(|step| step.is_filler);
             // A task of a gang that has done its share waits for the others and is not stuck.
-            if is_lasting || row.percent >= 100 {
+            if is_lasting || is_paced || row.percent >= 100 {
                 continue;
             }
             let previous = self.progress.get(&key).copied();
             let mut current = previous.unwrap_or_else(|| Progress::new(row.percent, now_ms));
-            current.update(row.percent, now_ms);
+            current.update(row.percent, now_ms, heartbeat.clock_ms);
             progress.insert(key, current);
         }
         self.progress = progress;
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -113,6 +113,13 @@
         self.accelerators = self.accelerators.saturating_add(demand.accelerators);
     }
 
+    /// Takes what is owed out of these resources, as far as they go.
+    pub fn settle(&mut self, owed: &mut Self) {
+        let available = *self;
+        self.subtract(owed, false);
+        owed.subtract(&available, false);
+    }
+
     /// Number of tasks with this demand that fit.
     pub fn count_fitting(&self, demand: &Self, is_filler: bool) -> u64 {
         let ratio = |available: u64, needed: u64| available.checked_div(needed).unwrap_or(u64::MAX);
@@ -183,6 +190,14 @@
 }
 
 impl Spec {
+    /// Number of accelerators that all tasks need at the same time.
+    pub fn accelerators(&self) -> u64 {
+        self.steps
+            .iter()
+            .map(|step| u64::from(step.count) * u64::from(step.demand.accelerators))
+            .sum()
+    }
+
     /// Returns the reason why the job is malformed, if it is.
     pub fn fault(&self) -> Option<String> {
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -3,15 +3,21 @@
 //! [`table`] is replicated state; [`fleet`] and [`plan`] are derived by the leader from that state
 //! and from the heartbeats that it receives. This module reads no clock and does no I/O.
 
+pub mod admission;
 pub mod balance;
+mod bounded;
 pub mod call;
 pub mod document;
 pub mod estimate;
 pub mod fleet;
+pub mod interference;
 pub mod job;
 pub mod pace;
 pub mod plan;
+pub mod share;
+pub mod speed;
 pub mod table;
+pub mod throttle;
 pub mod worker;
 
 /// Result of a batch operation.
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -3,22 +3,32 @@
 //! A decision depends only on the job table, the fleet and the learned run times.
 
 mod allocation;
+mod backlog;
 mod candidate;
 mod evict;
+mod fairness;
+mod foresight;
+mod neighbour;
+mod outlook;
+mod preference;
 mod reserve;
 
 use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::admission::Backlog;
 use super::estimate::Estimates;
 use super::fleet::{Fleet, Worker};
 use super::job::{Id, Resources, Step, TaskId};
 use super::table::{Round, Start, Table};
 use allocation::Allocation;
 use candidate::Class;
-pub use candidate::{Candidate, candidates, startable_tasks};
-use evict::Evictor;
-use reserve::Release;
+pub use candidate::{Candidate, candidates, longest_path_ms, startable_tasks};
+use evict::{Evictor, Selection};
+pub use fairness::Excess;
+use foresight::{Ending, Keeps};
+use neighbour::Neighbours;
+use outlook::Release;
 
 /// Age at which a pending eviction expires and its capacity is no longer held, in milliseconds. An
 /// eviction takes one heartbeat and the stop of the run.
@@ -94,18 +104,25 @@
     pub explanations: Vec<Explanation>,
     /// Number of candidates that still wait.
     pub waiting: usize,
+    /// Number of these that wait for runs to end instead of stopping others.
+    pub promised: usize,
     /// Whether the decision was cut short, so that the next one is due at once.
     pub is_cut_short: bool,
     /// Number of candidates that are too late for their result to be of use.
     pub expired: usize,
     /// Share of each pool's accelerators (or cores, if it has none) that is in use.
     pub utilization: BTreeMap<String, f64>,
+    /// Customers whose jobs yield to others', since the pool is too small for all.
+    pub excess: Vec<Excess>,
+    /// Work that waited before the decision, by pool.
+    pub backlogs: BTreeMap<String, Backlog>,
 }
 
 /// Decides on placements and keeps track of pending evictions between decisions.
 #[derive(Debug, Default)]
 pub struct Planner {
     evictions: BTreeMap<StepId, Eviction>,
+    keeps: Keeps,
 }
 
 /// A pending eviction: capacity that is held for a step until the evicted runs have stopped.
@@ -126,10 +143,19 @@
     utilization: BTreeMap<&'a str, f64>,
     // What the runs on each worker are expected to free; worked out when it is first needed.
     releases: Vec<OnceCell<Vec<Release>>>,
+    // Like `releases`, as far as stops can be spared for them.
+    endings: Vec<OnceCell<Vec<Ending>>>,
+    // What was withdrawn from each worker beyond its free capacity: it is taken from what its runs free.
+    owed: Vec<Resources>,
+    // Workers whose room goes to urgent work only.
+    kept: Vec<bool>,
+    // How much longer than on average runs take on each worker, as a factor; looked up on first use.
+    slowdowns: Vec<OnceCell<f64>>,
+    neighbours: Neighbours,
 }
 
 impl<'a> Cluster<'a> {
-    fn new(view: View<'a>) -> Self {
+    fn new(view: View<'a>, keeps: &Keeps) -> Self {
         let workers = view.fleet.workers(view.table, view.now_ms);
         let mut racks: BTreeMap<_, Vec<usize>> = BTreeMap::new();
         let mut sums: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
@@ -149,7 +175,29 @@
         let share = |(free, total): (u64, u64)| 1.0 - free as f64 / total.max(1) as f64;
         let utilization = sums.into_iter().map(|(pool, sum)| (pool, share(sum))).collect();
         let releases = workers.iter().map(|_| OnceCell::new()).collect();
-        Self { view, workers, racks, utilization, releases }
+        let endings = workers.iter().map(|_| OnceCell::new()).collect();
+        let owed = vec![Resources::default(); workers.len()];
+        let kept = workers.iter().map(|worker| keeps.contains(worker.name, view.now_ms)).collect();
+        let slowdowns = workers.iter().map(|_| OnceCell::new()).collect();
+        let neighbours = Neighbours::new(&view, workers.len());
+        Self {
+            view,
+            workers,
+            racks,
+            utilization,
+            releases,
+            endings,
+            owed,
+            kept,
+            slowdowns,
+            neighbours,
+        }
+    }
+
+    // Factor by which runs take longer than average on a worker.
+    fn slowdown(&self, worker: usize) -> f64 {
+        let location = self.workers[worker].location();
+        *self.slowdowns[worker].get_or_init(|| self.view.estimates.slowdown_at(&location))
     }
 
     // Share of a pool's accelerators (or cores, if it has none) that is in use.
@@ -163,7 +211,12 @@
 
     fn allocate(&mut self, worker: usize, demand: &Resources, is_filler: bool, count: u64) {
         for _ in 0..count {
-            self.workers[worker].free.subtract(demand, is_filler);
+            let mut missing = *demand;
+            if is_filler {
+                missing.cpu_milli = 0;
+            }
+            self.workers[worker].free.settle(&mut missing);
+            self.owed[worker].add(&missing, false);
         }
         self.workers[worker].runs += count;
     }
@@ -228,9 +281,13 @@
 impl Planner {
     /// Decides which tasks start and which runs stop now.
     pub fn decide(&mut self, view: View<'_>) -> Plan {
-        let candidates = candidates(&view);
+        let mut candidates = candidates(&view);
         self.remove_stale_evictions(view.now_ms, &candidates);
-        let mut decision = Decision::new(view);
+        self.keeps.remove_expired(view.now_ms);
+        let mut decision = Decision::new(view, &self.keeps);
+        decision.plan.excess = fairness::mark_excess(&mut candidates, &decision.cluster);
+        candidate::sort(&mut candidates, &view);
+        decision.plan.backlogs = backlog::collect(&candidates, &decision.cluster);
         decision.plan.expired = candidates.iter().filter(|candidate| candidate.is_expired).count();
         for (at, candidate) in candidates.iter().enumerate() {
             let starts_left = MAX_STARTS.saturating_sub(decision.plan.round.starts.len());
@@ -265,11 +322,16 @@
                 continue;
             }
             let may_evict = allocation.is_empty() && candidate.may_evict(&view);
-            if let Some(slots) = may_evict.then(|| decision.evict(candidate)).flatten() {
-                self.evictions.insert(candidate.id, Eviction { started_ms: view.now_ms, slots });
-                continue;
+            match may_evict.then(|| decision.make_room(candidate)).flatten() {
+                Some(selection) if selection.runs.is_empty() => decision.plan.promised += 1,
+                Some(Selection { slots, freed, .. }) => {
+                    let workers = freed.into_iter().map(|(worker, _)| worker);
+                    self.keeps.extend(workers, view.now_ms);
+                    let eviction = Eviction { started_ms: view.now_ms, slots };
+                    self.evictions.insert(candidate.id, eviction);
+                }
+                None => decision.reserve(candidate),
             }
-            decision.reserve(candidate);
         }
         decision.plan
     }
@@ -304,8 +366,8 @@
 }
 
 impl<'a> Decision<'a> {
-    fn new(view: View<'a>) -> Self {
-        let cluster = Cluster::new(view);
+    fn new(view: View<'a>, keeps: &Keeps) -> Self {
+        let cluster = Cluster::new(view, keeps);
         let utilization =
             cluster.utilization.iter().map(|(pool, share)| (pool.to_string(), *share));
         let plan = Plan { utilization: utilization.collect(), ..Plan::default() };
@@ -332,21 +394,33 @@
         self.plan.is_cut_short = true;
     }
 
-    // Evicts runs for a step and holds the capacity that they free.
-    fn evict(&mut self, candidate: &Candidate<'_>) -> Option<BTreeMap<String, u64>> {
+    // Holds capacity for a step that other runs free: soon by themselves, or because they are evicted.
+    fn make_room(&mut self, candidate: &Candidate<'_>) -> Option<Selection> {
         if self.eviction_searches >= MAX_EVICTION_SEARCHES {
             return None;
         }
-        self.eviction_searches += 1;
-        let found = self.evictor.find(&self.cluster, candidate)?;
+        let found = self.evictor.find(&self.cluster, candidate);
+        let is_promise = found.as_ref().is_some_and(|found| found.runs.is_empty());
+        if !is_promise {
+            self.eviction_searches += 1;
+        }
+        let found = found?;
+        hold_capacity(&mut self.cluster, candidate, &found.slots);
+        for (worker, demand) in &found.freed {
+            if let Some(at) = self.cluster.position(worker) {
+                self.cluster.owed[at].subtract(demand, false);
+            }
+        }
+        if is_promise {
+            return Some(found);
+        }
         let is_guarantee_due = candidate.is_guarantee_due(&self.view);
         let reason =
             if is_guarantee_due { "reclaims its guarantee" } else { "stops less urgent runs" };
         let explanation = candidate.explain(&self.view, 0, reason);
         self.plan.explanations.push(Explanation { evicted: found.runs.clone(), ..explanation });
-        self.plan.round.stops.extend(found.runs);
-        hold_capacity(&mut self.cluster, candidate, &found.slots);
-        Some(found.slots)
+        self.plan.round.stops.extend(found.runs.iter().copied());
+        Some(found)
     }
 
     // Reserves capacity for a gang ahead of the less urgent candidates that follow.
@@ -377,6 +451,7 @@
     let mut tasks = candidate.tasks.iter();
     for (at, count) in &allocation.slots {
         cluster.allocate(*at, &candidate.step.demand, candidate.step.is_filler, *count);
+        cluster.neighbours.add(*at, &cluster.view, candidate);
         let worker = &cluster.workers[*at];
         for index in tasks.by_ref().take(*count as usize) {
             let task = TaskId { job, occurrence, step, index: *index };
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -4,6 +4,8 @@
 mod heartbeat;
 pub(super) mod lag;
 pub(super) mod membership;
+mod neighbour;
+mod refusal;
 pub(super) mod round;
 
 use std::sync::atomic::AtomicU64;
@@ -12,20 +14,25 @@
 use tokio::sync::{Notify, watch};
 
 use super::{COMMIT_TIMEOUT, Control};
+use crate::batch::admission::Admission;
 use crate::batch::balance::Balancer;
 use crate::batch::call::{Answer, Request};
-use crate::batch::estimate::{Estimates, Sample};
+use crate::batch::estimate::{Estimates, Kind};
 use crate::batch::fleet::Fleet;
 use crate::batch::pace::Rate;
 use crate::batch::plan::{Planner, Times};
 use crate::batch::table::{Command as Batch, End, MAX_ROUND_BYTES, Round, Table as Jobs};
+use crate::batch::throttle;
 use crate::batch::worker::Exit;
 use crate::error::{Code, Error, Result};
 use crate::kernel::lock::{Mutex, Rank};
 use crate::kernel::timer::wall_ms;
 use crate::settings::Settings;
 use crate::state::Command;
-use crate::telemetry::Metrics;
+use crate::telemetry::{DECISION, Metrics};
+
+/// Change of the spread of learned speeds that is logged, as a logarithm: a twentieth.
+const LOGGED_SPREAD_CHANGE: f64 = 0.05;
 
 /// State of batch dispatch that is kept in memory only.
 pub(super) struct Dispatch {
@@ -37,6 +44,7 @@
     load_logged_at_ms: AtomicU64,
     heartbeat_rate: Mutex<Rate>,
     times: Times,
+    throttle_times: throttle::Times,
     lease_ms: u64,
     tolerated_losses: usize,
 }
@@ -47,7 +55,10 @@
     fleet: Fleet,
     balancer: Balancer,
     planner: Planner,
+    admission: Admission,
     estimates: Estimates,
+    // How far zones, racks and workers differ in speed, as last logged.
+    logged_spreads: [f64; 3],
 }
 
 impl Dispatch {
@@ -59,6 +70,7 @@
             load_logged_at_ms: AtomicU64::new(0),
             heartbeat_rate: Mutex::new(Rank::HeartbeatRate, Rate::default()),
             times: settings.batch.times,
+            throttle_times: settings.batch.throttle_times,
             lease_ms: settings.times.worker_lease_ms,
             tolerated_losses: settings.batch.tolerated_losses,
         }
@@ -134,7 +146,8 @@
         }
         if self.fleet.term() != term {
             let estimates = std::mem::take(&mut self.estimates);
-            *self = Self { fleet: Fleet::of_term(term), estimates, ..Self::default() };
+            let fleet = Fleet::of_term(term).with_throttle_times(control.dispatch.throttle_times);
+            *self = Self { fleet, estimates, ..Self::default() };
         }
         Ok(())
     }
@@ -151,15 +164,27 @@
             let step = &job.spec.steps[end.task.step as usize];
             let heartbeat = &session.heartbeat;
             let is_data_remote = !step.data_rack.is_empty() && step.data_rack != heartbeat.rack;
-            if !task.checkpoint.is_empty() || is_data_remote || step.is_lasting {
+            let was_paced = session.was_paced(&end.task, end.run);
+            if !task.checkpoint.is_empty() || is_data_remote || step.is_lasting || was_paced {
                 continue;
             }
-            self.estimates.learn(&Sample {
-                queue: &job.queue,
-                zone: &heartbeat.zone,
-                declared_ms: step.estimate_ms,
-                took_ms: wall_ms().saturating_sub(run.placed_ms),
-            });
+            let took_ms = wall_ms().saturating_sub(run.placed_ms);
+            self.estimates.learn_run_time(&Kind::of(job, step), &heartbeat.location(), took_ms);
+        }
+    }
+
+    fn record_paces(&mut self, table: &Jobs, worker: &str) {
+        self.fleet.learn_paces(worker, table, &mut self.estimates);
+        let spreads = self.estimates.speeds().spreads();
+        let mut changes = spreads.iter().zip(&self.logged_spreads);
+        if !changes.any(|(spread, logged)| (spread - logged).abs() >= LOGGED_SPREAD_CHANGE) {
+            return;
+        }
+        self.logged_spreads = spreads;
+        let [zones, racks, workers] = spreads;
+        for (level, spread) in [("zone", zones), ("rack", racks), ("worker", workers)] {
+            Metrics::global().set_speed_spread(level, spread);
         }
+        tracing::info!(target: DECISION, zones, racks, workers, "speed of workers");
     }
 }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -15,6 +15,7 @@
 
 use crate::batch::worker::Exit;
 use crate::error::Code;
+use crate::listener::ledger::Report;
 use crate::settings::LogFormat;
 use crate::verdict::Verdict;
 pub use rate_limit::Limiter;
@@ -82,10 +83,18 @@
     refusals: Counter<u64>,
     log_lines_dropped: Counter<u64>,
     steps_waiting: Gauge<u64>,
+    speed_spread: Gauge<f64>,
+    interfering_pairs: Gauge<u64>,
+    pace_changes: Counter<u64>,
+    yielding_customers: Gauge<u64>,
     first_start: Histogram<f64>,
     completion: Histogram<f64>,
     commit_time: Histogram<f64>,
     heartbeat_time: Histogram<f64>,
+    listener_bytes: Gauge<u64>,
+    listener_connections: Gauge<u64>,
+    listener_refused: Counter<u64>,
+    listener_closed: Counter<u64>,
 }
 
 impl Metrics {
@@ -119,10 +128,18 @@
             refusals: meter.u64_counter("eelgrassvalve_batch_refusals").build(),
             log_lines_dropped: meter.u64_counter("eelgrassvalve_log_lines_dropped").build(),
             steps_waiting: meter.u64_gauge("eelgrassvalve_batch_steps_waiting").build(),
+            speed_spread: meter.f64_gauge("eelgrassvalve_batch_speed_spread").build(),
+            interfering_pairs: meter.u64_gauge("eelgrassvalve_batch_interfering_pairs").build(),
+            pace_changes: meter.u64_counter("eelgrassvalve_batch_pace_changes").build(),
+            yielding_customers: meter.u64_gauge("eelgrassvalve_batch_yielding_customers").build(),
             first_start: meter.f64_histogram("eelgrassvalve_batch_first_start_seconds").build(),
             completion: meter.f64_histogram("eelgrassvalve_batch_completion_seconds").build(),
             commit_time: meter.f64_histogram("eelgrassvalve_commit_seconds").build(),
             heartbeat_time: meter.f64_histogram("eelgrassvalve_heartbeat_seconds").build(),
+            listener_bytes: meter.u64_gauge("eelgrassvalve_listener_held_bytes").build(),
+            listener_connections: meter.u64_gauge("eelgrassvalve_listener_connections").build(),
+            listener_refused: meter.u64_counter("eelgrassvalve_listener_refused").build(),
+            listener_closed: meter.u64_counter("eelgrassvalve_listener_closed").build(),
             registry,
             _provider: provider,
         }
@@ -187,11 +204,33 @@
         self.log_lines_dropped.add(count, &[]);
     }
 
+    /// Sets the number of pairs of images of which one slows the other down.
+    pub fn set_interfering_pairs(&self, pairs: u64) {
+        self.interfering_pairs.record(pairs, &[]);
+    }
+
+    /// Counts a change of the pace of the tasks that fill a worker.
+    pub fn count_pace_change(&self) {
+        self.pace_changes.add(1, &[]);
+    }
+
+    /// Sets the number of customers that yield to others since they ask for more than their share, counted
+    /// once for each priority class.
+    pub fn set_yielding_customers(&self, count: u64) {
+        self.yielding_customers.record(count, &[]);
+    }
+
     /// Sets the number of steps that wait for placement.
     pub fn set_steps_waiting(&self, count: u64) {
         self.steps_waiting.record(count, &[]);
     }
 
+    /// Sets the standard deviation of the logarithms of learned speeds between zones, racks or
+    /// workers.
+    pub fn set_speed_spread(&self, level: &'static str, spread: f64) {
+        self.speed_spread.record(spread, &[KeyValue::new("level", level)]);
+    }
+
     /// Records the time from a job's acceptance to its first start, in seconds.
     pub fn record_first_start(&self, seconds: f64) {
         self.first_start.record(seconds, &[]);
@@ -212,6 +251,15 @@
         self.heartbeat_time.record(seconds, &[]);
     }
 
+    /// Records what a listener holds and counts what it has turned away.
+    pub fn record_listener(&self, report: &Report) {
+        let listener = [KeyValue::new("listener", report.listener)];
+        self.listener_bytes.record(report.held_bytes as u64, &listener);
+        self.listener_connections.record(report.connections as u64, &listener);
+        self.listener_refused.add(report.refused, &listener);
+        self.listener_closed.add(report.closed, &listener);
+    }
+
     /// Counts bytes sent to other daemons.
     pub fn count_mesh_bytes(&self, bytes: u64) {
         self.mesh_bytes.add(bytes, &[]);
