--- a/src/batch/plan/foresight.rs
+++ b/src/batch/plan/foresight.rs
@@ -24,9 +24,6 @@
 /// next to be stopped.
 const KEEP_MS: u64 = 4_000;
 
-/// Pool utilization below which no room is kept: there is enough for urgent work elsewhere.
-const MIN_UTILIZATION_TO_KEEP: f64 = 0.5;
-
 /// Workers on which runs were stopped for urgent work a short time ago.
 #[derive(Debug, Default)]
 pub(super) struct Keeps(BTreeMap<String, u64>);
@@ -78,10 +75,7 @@
 
 /// Whether the room on a worker is kept for more urgent work than this.
 pub(super) fn is_kept_from(cluster: &Cluster<'_>, at: usize, candidate: &Candidate<'_>) -> bool {
-    cluster.kept[at]
-        && candidate.job.terms.priority > 0
-        && !candidate.step.is_lasting
-        && cluster.utilization(&candidate.job.terms.pool) >= MIN_UTILIZATION_TO_KEEP
+    cluster.kept[at] && candidate.job.terms.priority > 0 && !candidate.step.is_lasting
 }
 
 /// Runs on a worker that are expected to end by a wall time, in milliseconds; none if that is 0.
