Settings: learned speeds are used in placement only with batch.speeds

Change: the setting batch.speeds, off by default. The speeds are learned, logged and counted all the same. The tests of uneven workers, tails and declarations switch it on.

--- a/examples/batch.rs
+++ b/examples/batch.rs
@@ -152,6 +152,7 @@
             checkpoint_interval_ms: 500,
             restore_ms: 250,
             reclaim_ms: 5_900,
+            are_speeds_used: false,
         };
         let view = View {
             table: &self.table,
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -72,6 +72,8 @@
     pub restore_ms: u64,
     /// Time within which guaranteed work of priority 0 must have started, in milliseconds.
     pub reclaim_ms: u64,
+    /// Whether the learned speed of workers, the pace of runs and the customers' own run times count.
+    pub are_speeds_used: bool,
 }
 
 /// Identifies a waiting step: job, occurrence, step.
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -296,7 +296,10 @@
 
 /// Expected run time of a step's tasks, in milliseconds.
 pub fn run_ms(view: &View<'_>, job: &Job, step: &Step) -> u64 {
-    view.estimates.task_ms(&Kind::of(job, step))
+    if view.times.are_speeds_used {
+        return view.estimates.task_ms(&Kind::of(job, step));
+    }
+    view.estimates.run_ms(&job.queue, step.estimate_ms)
 }
 
 /// Time after the due time within which a job should complete, in milliseconds.
--- a/src/batch/plan/outlook.rs
+++ b/src/batch/plan/outlook.rs
@@ -55,7 +55,7 @@
     }
     let session = cluster.view.fleet.session(cluster.workers[at].name);
     let percent = session.and_then(|session| session.progress_percent(task, run.number));
-    if step.is_gang && percent >= Some(100) {
+    if cluster.view.times.are_speeds_used && step.is_gang && percent >= Some(100) {
         return slowest_ms(cluster, task, run, (job, step));
     }
     work_left_ms(cluster, at, task, run, (job, step))
@@ -91,13 +91,15 @@
     let ran_ms = view.wall_ms.saturating_sub(run.placed_ms);
     let Some(session) = view.fleet.session(worker.name) else { return END_REPORT_MS };
     let percent = session.progress_percent(task, run.number).unwrap_or(0);
-    let left_ms = if let Some(left_ms) = session.left_ms(task, run.number) {
+    let own_pace_ms = session.left_ms(task, run.number).filter(|_| view.times.are_speeds_used);
+    let left_ms = if let Some(left_ms) = own_pace_ms {
         left_ms.saturating_sub(view.now_ms.saturating_sub(session.last_heartbeat_ms))
     } else if percent >= MIN_PROGRESS_PERCENT {
         ran_ms.saturating_mul(u64::from(100 - percent.min(100))) / u64::from(percent)
     } else {
         let run_ms = candidate::run_ms(view, job, step) as f64 * cluster.slowdown(at);
-        (run_ms as u64).saturating_sub(ran_ms).max(ran_ms / SURVIVAL_DIVISOR)
+        let survived_ms = if view.times.are_speeds_used { ran_ms / SURVIVAL_DIVISOR } else { 0 };
+        (run_ms as u64).saturating_sub(ran_ms).max(survived_ms)
     };
     left_ms.max(END_REPORT_MS)
 }
--- a/src/batch/plan/preference.rs
+++ b/src/batch/plan/preference.rs
@@ -21,7 +21,7 @@
     slots: Vec<(usize, u64)>,
     tasks: u64,
 ) -> Vec<(usize, u64)> {
-    if cluster.view.estimates.speeds().is_even() {
+    if !cluster.view.times.are_speeds_used || cluster.view.estimates.speeds().is_even() {
         return slots;
     }
     let is_slow = |(worker, _): &(usize, u64)| slowdown_class(cluster, *worker) > 0;
@@ -41,7 +41,8 @@
 // Urgent work and gangs, whose slow tasks would keep the workers of the others, avoid slow workers.
 fn speed_ms(cluster: &Cluster<'_>, candidate: &Candidate<'_>, worker: usize) -> u64 {
     let is_indifferent = candidate.job.terms.priority > 0 && !candidate.step.is_gang;
-    if cluster.view.estimates.speeds().is_even() || candidate.step.is_lasting || is_indifferent {
+    let is_even = !cluster.view.times.are_speeds_used || cluster.view.estimates.speeds().is_even();
+    if is_even || candidate.step.is_lasting || is_indifferent {
         return 0;
     }
     let factor = (1u64 << slowdown_class(cluster, worker)) - 1;
--- a/src/settings/batch.rs
+++ b/src/settings/batch.rs
@@ -38,6 +38,7 @@
                 checkpoint_interval_ms: seconds(reader, "batch.checkpoint_s", 1_000),
                 restore_ms: reader.number("batch.restore_ms", 500, 0, 60_000),
                 reclaim_ms: reader.number("batch.reclaim_ms", 6_000, 100, 600_000),
+                are_speeds_used: reader.flag("batch.speeds", false),
             },
             throttle_times: throttle::Times {
                 pace_ms: reader.number("batch.pace_ms", 100, 0, 60_000),
--- a/tests/load_declarations.rs
+++ b/tests/load_declarations.rs
@@ -55,8 +55,13 @@
         let step = Step { estimate_ms: declared_ms, image: "image".into(), ..step(1) };
         harness.submit_as(customer, job, "small", vec![step]);
     }
-    let times =
-        Times { remote_factor: 3, checkpoint_interval_ms: 500, restore_ms: 250, reclaim_ms: 5_900 };
+    let times = Times {
+        remote_factor: 3,
+        checkpoint_interval_ms: 500,
+        restore_ms: 250,
+        reclaim_ms: 5_900,
+        are_speeds_used: true,
+    };
     let view = View {
         table: &harness.table,
         fleet: &harness.fleet,
--- a/tests/load_tails.rs
+++ b/tests/load_tails.rs
@@ -32,6 +32,7 @@
 fn a_run_over_its_expected_time_is_not_expected_to_end_at_once() {
     let half = Resources { cpu_milli: 20_000, memory_mb: 80_000, accelerators: 4 };
     let mut harness = Harness::with_workers(2);
+    harness.are_speeds_used = true;
     harness.submit(1, "small", vec![Step { demand: half, per_worker: 1, ..step(2) }]);
     harness.start(task_id(1, 0, 0), 1, "w0");
     harness.now_ms += 9_000;
--- a/tests/load_uneven.rs
+++ b/tests/load_uneven.rs
@@ -51,6 +51,7 @@
 /// A harness with eight idle workers in two racks.
 fn harness(estimates: Estimates) -> Harness {
     let mut harness = Harness::with_workers(8);
+    harness.are_speeds_used = true;
     harness.estimates = estimates;
     harness
 }
@@ -132,6 +133,7 @@
 #[test]
 fn speed_is_learned_from_the_progress_of_runs() {
     let mut harness = Harness::with_workers(8);
+    harness.are_speeds_used = true;
     for job in 1..=12 {
         harness.submit(job, "small", vec![Step { per_worker: 1, ..step(8) }]);
         harness.run_round();
--- a/tests/support/batch.rs
+++ b/tests/support/batch.rs
@@ -23,6 +23,8 @@
     pub planner: Planner,
     pub estimates: Estimates,
     pub now_ms: u64,
+    /// Whether learned speeds are used, as the settings may say.
+    pub are_speeds_used: bool,
     sequence: u64,
 }
 
@@ -82,6 +84,7 @@
             planner: Planner::default(),
             estimates: Estimates::default(),
             now_ms: 1_000_000,
+            are_speeds_used: false,
             sequence: 0,
         }
     }
@@ -204,6 +207,7 @@
                 checkpoint_interval_ms: 500,
                 restore_ms: 250,
                 reclaim_ms: 5_900,
+                are_speeds_used: self.are_speeds_used,
             },
             now_ms: self.now_ms,
             wall_ms: self.now_ms,
