Settings: urgent steps wait for ends of runs only with batch.await_ends

Change: the setting batch.await_ends, off by default; the tests of it switch it on. Room made by stops is still kept.

--- a/examples/batch.rs
+++ b/examples/batch.rs
@@ -153,6 +153,7 @@
             restore_ms: 250,
             reclaim_ms: 5_900,
             are_speeds_used: false,
+            are_ends_awaited: false,
         };
         let view = View {
             table: &self.table,
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -74,6 +74,8 @@
     pub reclaim_ms: u64,
     /// Whether the learned speed of workers, the pace of runs and the customers' own run times count.
     pub are_speeds_used: bool,
+    /// Whether urgent steps wait for runs that are expected to end soon instead of stopping others.
+    pub are_ends_awaited: bool,
 }
 
 /// Identifies a waiting step: job, occurrence, step.
--- a/src/batch/plan/foresight.rs
+++ b/src/batch/plan/foresight.rs
@@ -58,7 +58,7 @@
 /// Wall time until which a step waits for room that frees by itself instead of stopping runs; `None`
 /// if it doesn't wait.
 pub(super) fn waits_until_ms(view: &View<'_>, candidate: &Candidate<'_>) -> Option<u64> {
-    if candidate.is_guarantee_due(view) {
+    if !view.times.are_ends_awaited || candidate.is_guarantee_due(view) {
         return None;
     }
     let latest_start_ms = candidate.deadline_ms.saturating_sub(candidate.remaining_ms);
--- a/src/settings/batch.rs
+++ b/src/settings/batch.rs
@@ -39,6 +39,7 @@
                 restore_ms: reader.number("batch.restore_ms", 500, 0, 60_000),
                 reclaim_ms: reader.number("batch.reclaim_ms", 6_000, 100, 600_000),
                 are_speeds_used: reader.flag("batch.speeds", false),
+                are_ends_awaited: reader.flag("batch.await_ends", false),
             },
             throttle_times: throttle::Times {
                 pace_ms: reader.number("batch.pace_ms", 100, 0, 60_000),
--- a/tests/load_declarations.rs
+++ b/tests/load_declarations.rs
@@ -61,6 +61,7 @@
         restore_ms: 250,
         reclaim_ms: 5_900,
         are_speeds_used: true,
+        are_ends_awaited: false,
     };
     let view = View {
         table: &harness.table,
--- a/tests/load_foresight.rs
+++ b/tests/load_foresight.rs
@@ -32,7 +32,9 @@
 
 impl Cluster {
     fn new(workers: usize) -> Self {
-        Self { harness: Harness::with_workers(workers), workers, stops: BTreeMap::new() }
+        let mut harness = Harness::with_workers(workers);
+        harness.are_ends_awaited = true;
+        Self { harness, workers, stops: BTreeMap::new() }
     }
 
     fn submit(&mut self, job: u64, queue: &str, step: Step) {
--- a/tests/support/batch.rs
+++ b/tests/support/batch.rs
@@ -25,6 +25,8 @@
     pub now_ms: u64,
     /// Whether learned speeds are used, as the settings may say.
     pub are_speeds_used: bool,
+    /// Whether urgent steps wait for runs that end soon, as the settings may say.
+    pub are_ends_awaited: bool,
     sequence: u64,
 }
 
@@ -85,6 +87,7 @@
             estimates: Estimates::default(),
             now_ms: 1_000_000,
             are_speeds_used: false,
+            are_ends_awaited: false,
             sequence: 0,
         }
     }
@@ -208,6 +211,7 @@
                 restore_ms: 250,
                 reclaim_ms: 5_900,
                 are_speeds_used: self.are_speeds_used,
+                are_ends_awaited: self.are_ends_awaited,
             },
             now_ms: self.now_ms,
             wall_ms: self.now_ms,
