Tasks that never started are a count, so that waiting jobs cost kilobytes

Callers saw: 100 whole jobs of 9,900 tasks, of 110 bytes each, were accepted, and each member went to 159 MiB where its settings gave it 48; a machine would have ended the process.

Change: `job::Tasks` holds the tasks that have begun one by one and the others as a count; `job::Waiting` is what a decision gets of them. Loops over runs read only what has begun.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -302,7 +302,7 @@
         if now_ms >= self.takeover_until_ms {
             return Vec::new();
         }
-        let tasks = (0..).zip(&progress.tasks);
+        let tasks = (0..).zip(progress.tasks.begun());
         tasks.flat_map(|(index, task)| task.lapsed_runs().map(move |run| (index, run))).collect()
     }
 
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -1,11 +1,14 @@
 //! Jobs: steps of tasks, run once or on a schedule.
 
+mod tasks;
+
 use std::collections::BTreeMap;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use super::document::Terms;
+pub use tasks::{Tasks, Waiting};
 
 /// Result of an operation on a job.
 pub type Result<T> = super::Result<T>;
@@ -308,8 +311,8 @@
 /// Progress of one step in one occurrence.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
-    /// State of each task, in order.
-    pub tasks: Vec<Task>,
+    /// The tasks, in order.
+    pub tasks: Tasks,
     /// Number of tasks that are done.
     pub done: u32,
     /// Highest run number of a gang that was counted as a failure, so that a failed run counts
@@ -320,12 +323,6 @@
 }
 
 impl Progress {
-    /// Indices of the waiting tasks.
-    pub fn waiting(&self) -> impl Iterator<Item = u32> {
-        let tasks = self.tasks.iter().enumerate();
-        tasks.filter(|(_, task)| task.state == State::Waiting).map(|(index, _)| index as u32)
-    }
-
     /// Whether a gang's run has ended on a worker that did not report it: all its tasks elsewhere ended
     /// because another one had, so that the first to end was on this worker, and the others there
     /// ended with it.
@@ -458,7 +455,8 @@
         let is_begun =
             |task: &Task| task.failures > 0 || task.broken_run > 0 || !task.checkpoint.is_empty();
         let steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
-        let mut open_steps = steps.map(|step| step.done > 0 || step.tasks.iter().any(is_begun));
+        let mut open_steps =
+            steps.map(|step| step.done > 0 || step.tasks.begun().iter().any(is_begun));
         self.finished > 0 || open_steps.any(|has_progress| has_progress)
     }
 
@@ -483,7 +481,7 @@
 pub fn active_runs(job: &Job) -> impl Iterator<Item = (TaskId, &Run)> {
     job.occurrences.iter().flat_map(move |(number, occurrence)| {
         occurrence.steps.iter().enumerate().flat_map(move |(step, progress)| {
-            progress.tasks.iter().enumerate().filter_map(move |(index, task)| {
+            progress.tasks.begun().iter().enumerate().filter_map(move |(index, task)| {
                 let State::Active(run) = &task.state else { return None };
                 let id = TaskId {
                     job: job.id,
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -458,9 +458,8 @@
         cluster.neighbours.add(*at, &cluster.view, candidate);
         let worker = &cluster.workers[*at];
         for index in tasks.by_ref().take(*count as usize) {
-            let task = TaskId { job, occurrence, step, index: *index };
-            let run =
-                gang_run.unwrap_or_else(|| candidate.progress.tasks[*index as usize].runs + 1);
+            let task = TaskId { job, occurrence, step, index };
+            let run = gang_run.unwrap_or_else(|| candidate.progress.tasks[index as usize].runs + 1);
             plan.round.starts.push(Start {
                 task,
                 run,
--- a/src/batch/plan/allocation.rs
+++ b/src/batch/plan/allocation.rs
@@ -206,7 +206,7 @@
 
 // Number of tasks of the step that are placed on a worker.
 fn count_tasks_on(candidate: &Candidate<'_>, worker: &str) -> u64 {
-    let tasks = &candidate.progress.tasks;
+    let tasks = candidate.progress.tasks.begun();
     let is_on = |state: &State| matches!(state, State::Active(run) if run.worker == worker);
     tasks.iter().filter(|task| is_on(&task.state)).count() as u64
 }
--- a/src/batch/plan/candidate.rs
+++ b/src/batch/plan/candidate.rs
@@ -5,7 +5,7 @@
 use super::{Explanation, StepId, View};
 use crate::batch::estimate::Kind;
 use crate::batch::fleet::Fleet;
-use crate::batch::job::{Job, Occurrence, Progress, Step, Task, TaskId};
+use crate::batch::job::{Job, Occurrence, Progress, Step, Task, TaskId, Waiting};
 
 /// Multiple of the time allowed for a job after which its result is of no more use to the caller.
 const EXPIRY_FACTOR: u64 = 3;
@@ -40,8 +40,8 @@
     pub step: &'a Step,
     /// Progress of the step.
     pub progress: &'a Progress,
-    /// Indices of the waiting tasks.
-    pub tasks: Vec<u32>,
+    /// The waiting tasks.
+    pub tasks: Waiting,
     /// Workers on which a waiting task failed a short time ago. They are avoided only for a while,
     /// since they may be the only ones left later.
     pub avoided_workers: Vec<&'a str>,
@@ -69,7 +69,7 @@
     /// Number of the next run of a gang; `None` for other steps, whose tasks are numbered one by
     /// one.
     pub fn next_gang_run(&self) -> Option<u32> {
-        let runs = self.progress.tasks.iter().map(|task| task.runs);
+        let runs = self.progress.tasks.begun().iter().map(|task| task.runs);
         self.step.is_gang.then(|| runs.max().unwrap_or(0) + 1)
     }
 
@@ -211,7 +211,7 @@
     });
 }
 
-/// Indices of the waiting tasks of a step that may start. A task or gang that may have failed as often as
+/// The waiting tasks of a step that may start. A task or gang that may have failed as often as
 /// its queue allows waits until that is certain.
 pub fn startable_tasks(
     fleet: &Fleet,
@@ -219,8 +219,8 @@
     (id, occurrence, at): StepId,
     progress: &Progress,
     now_ms: u64,
-) -> Vec<u32> {
-    let mut tasks: Vec<u32> = progress.waiting().collect();
+) -> Waiting {
+    let mut tasks = progress.tasks.waiting();
     let step = &job.spec.steps[at as usize];
     let first = TaskId { job: id, occurrence, step: at, index: 0 };
     if step.is_lasting {
@@ -237,9 +237,10 @@
     if step.is_gang {
         let runs: BTreeSet<u32> = unrecorded.into_iter().map(|(_, run)| run).collect();
         let may_start = progress.failures as usize + runs.len() < attempts;
-        return if may_start { tasks } else { Vec::new() };
+        return if may_start { tasks } else { Waiting::default() };
     }
-    tasks.retain(|index| {
+    // Only a task that has run can have failed.
+    tasks.retain_begun(|index| {
         let failures = progress.tasks[*index as usize].failures as usize;
         let own: BTreeSet<u32> =
             unrecorded.iter().filter(|(task, _)| task == index).map(|(_, run)| *run).collect();
@@ -253,16 +254,16 @@
     job: &'a Job,
     occurrence: &Occurrence,
     remaining_ms: u64,
-    (id, step, progress, tasks): (StepId, &'a Step, &'a Progress, Vec<u32>),
+    (id, step, progress, tasks): (StepId, &'a Step, &'a Progress, Waiting),
 ) -> Candidate<'a> {
     let due_ms = occurrence.due_ms;
     let allowed_ms = allowed_ms(view, job);
     let deadline_ms = due_ms.saturating_add(allowed_ms);
     let useful_until_ms = due_ms.saturating_add(allowed_ms.saturating_mul(EXPIRY_FACTOR));
     let done_ms = view.wall_ms.saturating_add(remaining_ms);
-    let avoided_workers = recently_failed_on(&progress.tasks, &tasks, view.wall_ms);
+    let avoided_workers = recently_failed_on(progress.tasks.begun(), tasks.begun(), view.wall_ms);
     let has_run = |index: &u32| progress.tasks[*index as usize].runs > 0;
-    let is_restart = step.is_lasting && tasks.iter().any(has_run);
+    let is_restart = step.is_lasting && tasks.begun().iter().any(has_run);
     Candidate {
         id,
         job,
--- a/src/batch/plan/fairness.rs
+++ b/src/batch/plan/fairness.rs
@@ -134,7 +134,7 @@
     for occurrence in job.occurrences.values() {
         for (step, progress) in job.spec.steps.iter().zip(&occurrence.steps) {
             let is_active = |state: &State| matches!(state, State::Active(_));
-            let count = progress.tasks.iter().filter(|task| is_active(&task.state)).count();
+            let count = progress.tasks.begun().iter().filter(|task| is_active(&task.state)).count();
             if count > 0 {
                 share += Share::of(&step.demand, step.is_filler, count as u64, capacity);
             }
--- a/src/batch/plan/outlook.rs
+++ b/src/batch/plan/outlook.rs
@@ -66,7 +66,7 @@
     let mut slowest_ms = END_REPORT_MS;
     let occurrence = job.occurrences.get(&task.occurrence);
     let members = occurrence.and_then(|occurrence| occurrence.steps.get(task.step as usize));
-    for (index, member) in (0..).zip(members.map_or(&[][..], |progress| &progress.tasks)) {
+    for (index, member) in (0..).zip(members.map_or(&[][..], |progress| progress.tasks.begun())) {
         let State::Active(other) = &member.state else { continue };
         let Some(at) = cluster.position(&other.worker) else { continue };
         if other.number != run.number {
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -9,7 +9,7 @@
 
 use super::Result;
 use super::document::{Document, Terms};
-use super::job::{Id, Job, Occurrence, Outcome, Progress, Run, Spec, State, Task, TaskId};
+use super::job::{Id, Job, Occurrence, Outcome, Progress, Run, Spec, State, Task, TaskId, Tasks};
 use super::worker::Exit;
 use crate::error::{Code, Error};
 
@@ -311,7 +311,7 @@
         let Some(mut job) = self.live.remove(&id) else { return };
         for (number, occurrence) in &job.occurrences {
             for (step, progress) in occurrence.steps.iter().enumerate() {
-                for (index, task) in progress.tasks.iter().enumerate() {
+                for (index, task) in progress.tasks.begun().iter().enumerate() {
                     let State::Active(run) = &task.state else { continue };
                     let task = TaskId {
                         job: id,
@@ -371,10 +371,11 @@
 }
 
 fn open_occurrence(job: &mut Job) {
-    let steps = job.spec.steps.iter().map(|step| Progress {
-        tasks: vec![Task::default(); step.count as usize],
-        ..Progress::default()
-    });
+    let steps = job
+        .spec
+        .steps
+        .iter()
+        .map(|step| Progress { tasks: Tasks::new(step.count), ..Progress::default() });
     let occurrence = Occurrence { due_ms: job.due_ms(job.opened), steps: steps.collect() };
     job.occurrences.insert(job.opened, occurrence);
     job.opened += 1;
--- a/src/batch/table/ends.rs
+++ b/src/batch/table/ends.rs
@@ -60,7 +60,7 @@
         let progress = &mut occurrence.steps[end.task.step as usize];
         let failures = if is_gang {
             // The run of a gang fails once, however many of its tasks report it.
-            for task in &mut progress.tasks {
+            for task in progress.tasks.iter_mut() {
                 task.remove_lapsed_run(end.run);
             }
             progress.failures += u32::from(progress.failed_run != end.run);
@@ -132,7 +132,7 @@
         progress.failed_run = end.run;
         progress.failures += 1;
     }
-    for task in &mut progress.tasks {
+    for task in progress.tasks.iter_mut() {
         if !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
