Accepted jobs have a budget of memory, and the customer that holds most is refused first

Callers saw: a member accepts any number of whole jobs. 900 jobs with payloads of 60,000 bytes from one customer, 200 with a name of 250,000 bytes or 200 with 120,000 references to an earlier step took each member of 48 MiB to 192 to 237 MiB; the machine would have ended the process, and with it all customers' work.

The log was compacted at 8 MiB whatever memory the process had.

Change: `batch::room::Room` counts what accepted jobs hold, ended ones included, against a twelfth of `limits.memory_mb`, or `limits.accepted_mb`. A customer may hold four times what is free; jobs within a guarantee may take the rest; a proposed job is never refused. Refusals are 429 with a Retry-After from the rate at which jobs end. Names have at most 1 KiB, repeated references are dropped, and the log is compacted at a sixteenth of the memory if that is less than `limits.log_bytes`.

--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -19,6 +19,8 @@
 pub const MAX_STEPS: usize = 64;
 /// Maximum size of a payload, in bytes.
 pub const MAX_PAYLOAD_BYTES: usize = 64 << 10;
+/// Maximum length of the label, rack and image that a step names, in bytes.
+pub const MAX_NAME_BYTES: usize = 1 << 10;
 
 /// Identity of a job, chosen by its caller: 16 hexadecimal digits.
 #[derive(
@@ -201,6 +203,28 @@
             .sum()
     }
 
+    /// Number of tasks of one occurrence.
+    pub fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
+    /// Maximum number of occurrences that are open at a time: their tasks are limited like those of a
+    /// job without a schedule.
+    pub fn max_open_occurrences(&self) -> u32 {
+        let count = self.schedule.map_or(1, |schedule| schedule.count.max(1));
+        let fitting = u64::from(MAX_TASKS).checked_div(self.task_count()).unwrap_or(1).max(1);
+        count.min(fitting as u32)
+    }
+
+    /// Removes references to earlier steps that are repeated.
+    pub fn remove_repeated_references(&mut self) {
+        for step in &mut self.steps {
+            step.after.sort_unstable();
+            step.after.dedup();
+            step.after.shrink_to_fit();
+        }
+    }
+
     /// Returns the reason why the job is malformed, if it is.
     pub fn fault(&self) -> Option<String> {
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
@@ -215,6 +239,12 @@
             if step.count == 0 {
                 return Some(format!("step {at} has no tasks"));
             }
+            if [&step.label, &step.data_rack, &step.image]
+                .iter()
+                .any(|name| name.len() > MAX_NAME_BYTES)
+            {
+                return Some(format!("a name in step {at} is longer than {MAX_NAME_BYTES} bytes"));
+            }
             if step.after.iter().any(|earlier| *earlier as usize >= at) {
                 return Some(format!("step {at} waits for a step that is not an earlier one"));
             }
@@ -433,9 +463,7 @@
     /// Whether the next occurrence is due and can be opened. The tasks of open occurrences are limited
     /// like those of a job without a schedule; later occurrences wait until earlier ones are done.
     pub fn has_due_occurrence(&self, now_ms: u64) -> bool {
-        let tasks: u64 = self.spec.steps.iter().map(|step| u64::from(step.count)).sum();
-        let has_room = self.occurrences.is_empty()
-            || (self.occurrences.len() as u64 + 1) * tasks <= u64::from(MAX_TASKS);
+        let has_room = self.occurrences.len() < self.spec.max_open_occurrences() as usize;
         self.opened < self.occurrence_count() && self.due_ms(self.opened) <= now_ms && has_room
     }
 
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -14,6 +14,7 @@
 pub mod job;
 pub mod pace;
 pub mod plan;
+pub mod room;
 pub mod share;
 pub mod speed;
 pub mod table;
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -327,6 +327,7 @@
         job.outcome = Some(outcome);
         job.ended_ms = now_ms;
         job.spec.payload = String::new();
+        job.spec.steps.iter_mut().for_each(|step| step.after = Vec::new());
         self.ended_at.insert((now_ms, id));
         self.ended.insert(id, job);
     }
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::batch::fleet::Fleet;
 use crate::batch::pace::Rate;
 use crate::batch::plan::{Planner, Times};
+use crate::batch::room::Room;
 use crate::batch::table::{Command as Batch, End, MAX_ROUND_BYTES, Round, Table as Jobs};
 use crate::batch::throttle;
 use crate::batch::worker::Exit;
@@ -47,6 +48,8 @@
     throttle_times: throttle::Times,
     lease_ms: u64,
     tolerated_losses: usize,
+    // Memory for accepted jobs.
+    room_bytes: u64,
 }
 
 // State that is valid for one term of leadership only; the estimates outlive it.
@@ -56,6 +59,7 @@
     balancer: Balancer,
     planner: Planner,
     admission: Admission,
+    room: Room,
     estimates: Estimates,
     // How far zones, racks and workers differ in speed, as last logged.
     logged_spreads: [f64; 3],
@@ -73,6 +77,7 @@
             throttle_times: settings.batch.throttle_times,
             lease_ms: settings.times.worker_lease_ms,
             tolerated_losses: settings.batch.tolerated_losses,
+            room_bytes: settings.limits.accepted_bytes() as u64,
         }
     }
 }
@@ -147,7 +152,8 @@
         if self.fleet.term() != term {
             let estimates = std::mem::take(&mut self.estimates);
             let fleet = Fleet::of_term(term).with_throttle_times(control.dispatch.throttle_times);
-            *self = Self { fleet, estimates, ..Self::default() };
+            let room = Room::new(control.dispatch.room_bytes);
+            *self = Self { fleet, estimates, room, ..Self::default() };
         }
         Ok(())
     }
--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -29,10 +29,11 @@
             }
             return Ok(Answer::Phase(job.phase()));
         }
-        let spec = spec.map_err(|message| Error::not_run(Code::BadRequest, message))?;
+        let mut spec = spec.map_err(|message| Error::not_run(Code::BadRequest, message))?;
         if let Some(fault) = spec.fault() {
             return Err(Error::not_run(Code::BadRequest, fault));
         }
+        spec.remove_repeated_references();
         let (queue, terms) = (queue.name.clone(), queue.terms.clone());
         let submission = Submission { id, queue, customer, terms, spec };
         refusal::check(control, term, &machine.batch, &submission)?;
--- a/src/control/dispatch/refusal.rs
+++ b/src/control/dispatch/refusal.rs
@@ -9,6 +9,7 @@
 use crate::batch::fleet::{Fleet, lease_bound_ms};
 use crate::batch::job::{Job, Step};
 use crate::batch::plan::{find_unsatisfiable_step, longest_path_ms};
+use crate::batch::room::{self, Room};
 use crate::batch::share::Share;
 use crate::batch::table::{Submission, Table};
 use crate::error::{Code, Error, Result};
@@ -28,25 +29,28 @@
     let now_ms = control.timer.now_ms();
     let mut term_state = control.dispatch.term_state.lock();
     term_state.enter(term, control)?;
-    let Term { fleet, admission, estimates, .. } = &mut *term_state;
+    let Term { fleet, admission, room, estimates, .. } = &mut *term_state;
     let leader_for_ms = now_ms.saturating_sub(control.group.role_since_ms());
     let knows_workers = leader_for_ms >= lease_bound_ms(control.dispatch.lease_ms);
     if knows_workers {
         reject_impossible(fleet, jobs, submission, now_ms)?;
     }
-    let Some(backlog) = admission.backlog(&submission.terms.pool) else { return Ok(()) };
+    reject_without_room(room, jobs, submission, now_ms)?;
+    let bytes = room::submission_bytes(submission);
+    let Some(backlog) = admission.backlog(&submission.terms.pool) else {
+        room.propose(submission.id, &submission.customer, bytes, now_ms);
+        return Ok(());
+    };
     let request = new_request(submission, backlog, estimates);
     let is_exempt = submission.spec.schedule.is_some()
         || submission.spec.steps.iter().any(|step| step.is_lasting);
     let refusal = admission.refusal(&request, &jobs.document);
-    let Some(refusal) = refusal.filter(|_| knows_workers && !is_exempt) else {
+    let refusal = refusal.filter(|_| knows_workers && !is_exempt);
+    let Some(refusal) = refusal.filter(|_| !is_within_guarantee(jobs, submission)) else {
         admission.record_proposed(&request, now_ms);
+        room.propose(submission.id, &submission.customer, bytes, now_ms);
         return Ok(());
     };
-    if is_within_guarantee(jobs, submission) {
-        admission.record_proposed(&request, now_ms);
-        return Ok(());
-    }
     admission.record_refused(&request, refusal, now_ms);
     let (queue, customer, ahead_ms) = (&submission.queue, &submission.customer, refusal.ahead_ms);
     let retry_after_ms = refusal.retry_after_ms;
@@ -57,6 +61,32 @@
     Err(error.retry_after(Duration::from_millis(retry_after_ms)))
 }
 
+// Rejects a job for which accepted jobs leave no memory.
+fn reject_without_room(
+    room: &mut Room,
+    jobs: &Table,
+    submission: &Submission,
+    now_ms: u64,
+) -> Result<()> {
+    room.update(jobs, now_ms);
+    if room.is_proposed(submission.id) {
+        return Ok(());
+    }
+    let (customer, bytes) = (&submission.customer, room::submission_bytes(submission));
+    let refused = room.check(customer, bytes, false);
+    let refused = refused.or_else(|_| {
+        let is_guaranteed = is_within_guarantee(jobs, submission);
+        room.check(customer, bytes, is_guaranteed)
+    });
+    let Err(refusal) = refused else { return Ok(()) };
+    let (queue, retry_after_ms) = (&submission.queue, refusal.retry_after_ms);
+    let (held_bytes, free_bytes) = (refusal.held_bytes, refusal.free_bytes);
+    tracing::info!(target: DECISION, job = %submission.id, queue, customer, bytes, held_bytes, free_bytes, retry_after_ms, "job refused: accepted jobs leave no memory for it");
+    Metrics::global().count_job("refused_memory");
+    let error = Error::not_run(Code::OverLimit, refusal.to_string());
+    Err(error.retry_after(refusal.retry_after()))
+}
+
 // Rejects a job of which a step fits on no worker.
 fn reject_impossible(
     fleet: &Fleet,
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -139,7 +139,7 @@
     let machine = control.machine.lock();
     let mut term_state = control.dispatch.term_state.lock();
     term_state.enter(term, control)?;
-    let Term { fleet, planner, admission, estimates, .. } = &mut *term_state;
+    let Term { fleet, planner, admission, room, estimates, .. } = &mut *term_state;
     let remote_factor = control.dispatch.times.remote_factor;
     let stuck = fleet.stuck_runs(&machine.batch, estimates, remote_factor);
     let evacuated = fleet.runs_to_evacuate(&machine.batch, now_ms);
@@ -157,6 +157,8 @@
     let mut plan = planner.decide(view);
     fleet.record_starts(&plan.round.starts);
     admission.update(std::mem::take(&mut plan.backlogs), &machine.batch, now_ms);
+    room.update(&machine.batch, now_ms);
+    Metrics::global().set_state_bytes("accepted_jobs", room.held_bytes());
     for (name, run) in evacuated {
         tracing::info!(target: DECISION, task = %name, run, "stopping run before its worker leaves");
         plan.round.stops.push((name, run));
--- a/src/control/group.rs
+++ b/src/control/group.rs
@@ -113,7 +113,7 @@
             mesh,
             timer: timer.clone(),
             leadership: leadership.clone(),
-            log_bytes: settings.limits.log_bytes,
+            log_bytes: settings.limits.max_log_bytes(),
             status: sender,
             next_token: 1,
             requests_by_token: Default::default(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -94,6 +94,8 @@
     pub descriptors: usize,
     /// Memory that the process may use, in MiB.
     pub memory_mb: usize,
+    /// Memory for accepted jobs, in MiB; `None` if it follows from `memory_mb`.
+    pub accepted_mb: Option<usize>,
 }
 
 /// Intervals and timeouts of a daemon.
@@ -305,6 +307,8 @@
         let body_bytes = reader.number("limits.body_bytes", 1 << 20, 1_024, 64 << 20);
         let queue_requests = reader.number("limits.queue_requests", 10_000, 1, 100_000);
         let queue_bytes = reader.number("limits.queue_bytes", 64 << 20, 1_024, 1 << 30);
+        let memory_mb = reader.number("limits.memory_mb", 1_024, 48, 1 << 20);
+        let accepted_mb = reader.number("limits.accepted_mb", 0, 0, memory_mb / 4);
         let upstream_connections = reader.number("limits.upstream_connections", 60, 1, 10_000);
         Self {
             head_bytes: head_bytes as usize,
@@ -314,7 +318,8 @@
             upstream_connections: upstream_connections as usize,
             log_bytes: reader.number("limits.log_bytes", 8 << 20, 1 << 10, 1 << 30),
             descriptors: reader.number("limits.descriptors", 4_096, 256, 1 << 24) as usize,
-            memory_mb: reader.number("limits.memory_mb", 1_024, 48, 1 << 20) as usize,
+            memory_mb: memory_mb as usize,
+            accepted_mb: (accepted_mb > 0).then_some(accepted_mb as usize),
         }
     }
 
@@ -324,6 +329,18 @@
         (self.memory_mb << 20) / 3
     }
 
+    /// Memory for accepted jobs, in bytes: a twelfth, since a member may hold the state, the last and the
+    /// next snapshot of it, and one that it receives, at the same time. A smaller member than the others
+    /// needs their common value to be set.
+    pub fn accepted_bytes(&self) -> usize {
+        self.accepted_mb.map_or((self.memory_mb << 20) / 12, |accepted_mb| accepted_mb << 20)
+    }
+
+    /// Maximum size of the replicated log, in bytes, at which a snapshot is taken.
+    pub fn max_log_bytes(&self) -> u64 {
+        self.log_bytes.min((self.memory_mb as u64) << 20 >> 4)
+    }
+
     /// Maximum concurrent connections of the listeners for callers and for operators. The other
     /// descriptors are left to links, files and the other listeners.
     pub fn listener_connections(&self) -> usize {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -91,6 +91,7 @@
     completion: Histogram<f64>,
     commit_time: Histogram<f64>,
     heartbeat_time: Histogram<f64>,
+    state_bytes: Gauge<u64>,
     listener_bytes: Gauge<u64>,
     listener_connections: Gauge<u64>,
     listener_refused: Counter<u64>,
@@ -136,6 +137,7 @@
             completion: meter.f64_histogram("eelgrassvalve_batch_completion_seconds").build(),
             commit_time: meter.f64_histogram("eelgrassvalve_commit_seconds").build(),
             heartbeat_time: meter.f64_histogram("eelgrassvalve_heartbeat_seconds").build(),
+            state_bytes: meter.u64_gauge("eelgrassvalve_state_bytes").build(),
             listener_bytes: meter.u64_gauge("eelgrassvalve_listener_held_bytes").build(),
             listener_connections: meter.u64_gauge("eelgrassvalve_listener_connections").build(),
             listener_refused: meter.u64_counter("eelgrassvalve_listener_refused").build(),
@@ -251,6 +253,11 @@
         self.heartbeat_time.record(seconds, &[]);
     }
 
+    /// Sets what a kind of state takes, in bytes.
+    pub fn set_state_bytes(&self, kind: &'static str, bytes: u64) {
+        self.state_bytes.record(bytes, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records what a listener holds and counts what it has turned away.
     pub fn record_listener(&self, report: &Report) {
         let listener = [KeyValue::new("listener", report.listener)];
