Reads of the configuration share its text

Callers saw: 150 clients that ask a member for a configuration of 900 KB and don't read the answers took the member to 45 MiB, and it kept 44 to 45 MiB after they had left, where the bound is 40: a process that has been through such a crowd has no memory left for the next one.

Cause: each answer held a copy of the text, also for the moment between the copy and the account's choice of whom to close for it, and the allocator kept those pages.

Change: `document::Source` is shared by all its copies. It is stored and sent as before.

--- a/src/batch/call.rs
+++ b/src/batch/call.rs
@@ -2,11 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::document::Document;
+use super::document::{Document, Source};
 use super::job::{Phase, Spec};
 use super::table::Evacuation;
 use super::worker::{Heartbeat, Orders};
-use crate::replica::Bytes;
 use crate::replica::member::Id;
 
 /// Address and credentials of a caller's request.
@@ -98,7 +97,7 @@
         /// Revision of the document.
         revision: u64,
         /// Text as the operator sent it.
-        source: Bytes,
+        source: Source,
     },
     /// Names of the leader and of the members.
     Standing {
