Configurations are decoded and committed one at a time, and copies share their bytes

Callers saw: 59 whole configurations of 0.9 to 1 MB with rising versions, from eight threads, were all acknowledged, and a member of 48 MiB went to 60 to 99 MiB: the machine would have ended the process.

Cause: each configuration was decoded before the limit of eight in progress, so that every connection's body had a decoded form beside it; log entries were copied for the disk, for each follower and for the state machine; up to eight batches of whatever size were in flight to a follower; each link kept a write buffer of the size of its longest message; and the allocator raised its threshold for mapped blocks with the first large block that was freed, so that later ones left holes in the heap.

--- a/examples/batch.rs
+++ b/examples/batch.rs
@@ -125,7 +125,7 @@
             now_ms: 1_000_000,
             sequence: 0,
         };
-        leader.apply(Command::Publish(Box::new(document)));
+        leader.apply(Command::Publish(document.into()));
         leader
     }
 
--- a/examples/idle.rs
+++ b/examples/idle.rs
@@ -13,7 +13,7 @@
 use eelgrassvalve::client::Client;
 use eelgrassvalve::mesh::frame::encode;
 use eelgrassvalve::replica::store::Store;
-use eelgrassvalve::replica::{Bytes, Entry, Payload, Snapshot, Vote};
+use eelgrassvalve::replica::{Entry, Payload, Snapshot, Vote};
 use eelgrassvalve::state::Machine;
 use eelgrassvalve::state::claim::{Key, Owner, Request};
 use eelgrassvalve::state::document::{Claims, Document};
@@ -120,7 +120,7 @@
             let mut entries = Vec::new();
             for _ in 0..batch_size {
                 index += 1;
-                let payload = Payload::Command(Bytes(vec![7; 200]));
+                let payload = Payload::Command(vec![7; 200].into());
                 entries.push(Entry { index, term: 1, payload });
             }
             store.append(&entries).expect("the entries are written");
@@ -153,7 +153,7 @@
     let bytes = data.len();
     let folder = std::env::temp_dir().join(format!("eelgrassvalve-{}", uuid::Uuid::new_v4()));
     let (mut store, _) = Store::open(&folder).expect("the folder opens");
-    let snapshot = Snapshot { index: 1, data: Arc::new(Bytes(data)), ..Snapshot::default() };
+    let snapshot = Snapshot { index: 1, data: Arc::new(data.into()), ..Snapshot::default() };
     let start = Instant::now();
     store.save_snapshot(&snapshot, &[]).expect("the data is saved");
     let save_ms = start.elapsed().as_millis();
--- a/src/batch/call.rs
+++ b/src/batch/call.rs
@@ -1,11 +1,14 @@
 //! Requests and answers between daemons for batch jobs.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
-use super::document::{Document, Source};
+use super::document::Document;
 use super::job::{Phase, Spec};
 use super::table::Evacuation;
 use super::worker::{Heartbeat, Orders};
+use crate::replica::Bytes;
 use crate::replica::member::Id;
 
 /// Address and credentials of a caller's request.
@@ -43,7 +46,7 @@
         incarnation: Option<u64>,
     },
     /// Puts a document into force.
-    Publish(Box<Document>),
+    Publish(Arc<Document>),
     /// Begins or ends the evacuation of a zone.
     Evacuate(Evacuation),
     /// Reads the document in force.
@@ -97,7 +100,7 @@
         /// Revision of the document.
         revision: u64,
         /// Text as the operator sent it.
-        source: Source,
+        source: Bytes,
     },
     /// Names of the leader and of the members.
     Standing {
--- a/src/batch/document.rs
+++ b/src/batch/document.rs
@@ -3,11 +3,9 @@
 
 use std::collections::BTreeMap;
 
-use bytes::Bytes;
-use derive_more::From;
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde::{Deserialize, Serialize};
 
-use crate::replica;
+use crate::replica::Bytes;
 use crate::state::document::Fault;
 
 /// The whole configuration of batch jobs.
@@ -22,24 +20,7 @@
     /// Customers that submit jobs.
     pub customers: Vec<Customer>,
     /// The document as the operator sent it; reads return it unchanged.
-    pub source: Source,
-}
-
-/// Text of a document. Copies share it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, From)]
-#[from(Bytes, Vec<u8>)]
-pub struct Source(pub Bytes);
-
-impl Serialize for Source {
-    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
-        to.serialize_bytes(&self.0)
-    }
-}
-
-impl<'de> Deserialize<'de> for Source {
-    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        replica::Bytes::deserialize(from).map(|bytes| bytes.0.into())
-    }
+    pub source: Bytes,
 }
 
 /// A queue: the address at which callers submit jobs, and the terms of these jobs.
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -4,6 +4,7 @@
 mod parts;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -23,7 +24,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// Replaces the document if the new revision is higher.
-    Publish(Box<Document>),
+    Publish(Arc<Document>),
     /// Adds a job; has no effect if a job with this identity exists.
     Submit(Box<Submission>),
     /// Cancels a job.
@@ -108,7 +109,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Table {
     /// The document in force.
-    pub document: Document,
+    pub document: Arc<Document>,
     /// Jobs that have not ended.
     pub live: BTreeMap<Id, Job>,
     /// Jobs that ended within the retention period.
@@ -132,7 +133,7 @@
         match command {
             Command::Publish(document) => {
                 if document.revision > self.document.revision {
-                    self.document = (**document).clone();
+                    self.document = document.clone();
                     self.follow_queues();
                 }
             }
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -50,6 +50,8 @@
     tolerated_losses: usize,
     // Memory for accepted jobs.
     room_bytes: u64,
+    // Held while a document is committed.
+    publication: tokio::sync::Mutex<()>,
 }
 
 // State that is valid for one term of leadership only; the estimates outlive it.
@@ -78,6 +80,7 @@
             lease_ms: settings.times.worker_lease_ms,
             tolerated_losses: settings.batch.tolerated_losses,
             room_bytes: settings.limits.accepted_bytes() as u64,
+            publication: tokio::sync::Mutex::new(()),
         }
     }
 }
--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -1,6 +1,11 @@
 //! Requests of callers and operators at the leader: jobs and the configuration document.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::MutexGuard;
+use tokio::time::timeout;
 
 use super::{Control, propose, refusal};
 use crate::batch::call::{Answer, Target};
@@ -13,6 +18,11 @@
 /// Maximum length of the name of an availability zone, in bytes; names are part of the log.
 const MAX_ZONE_BYTES: usize = 256;
 
+/// Longest wait of a document for others, less than the timeout of a call to the leader.
+const MAX_PUBLICATION_WAIT: Duration = Duration::from_millis(700);
+/// Delay after which the sender of a document that had to wait too long may try again.
+const PUBLICATION_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 pub(super) async fn submit(
     control: &Control,
     target: &Target,
@@ -90,13 +100,14 @@
     Ok(Answer::Done)
 }
 
-pub(super) async fn publish(control: &Control, document: Box<Document>) -> Result<Answer> {
+pub(super) async fn publish(control: &Control, document: Arc<Document>) -> Result<Answer> {
     let faults = document.faults();
     if !faults.is_empty() {
         let messages: Vec<String> =
             faults.iter().map(|fault| format!("{}: {}", fault.path, fault.message)).collect();
         return Err(Error::not_run(Code::Unsatisfiable, messages.join("; ")));
     }
+    let _turn = await_publication(control).await?;
     control.group.read().await?;
     let revision = document.revision;
     let current_revision = control.machine.lock().batch.document.revision;
@@ -108,6 +119,15 @@
     Ok(Answer::Done)
 }
 
+// Waits until no other document is being committed: each takes several times its size.
+async fn await_publication(control: &Control) -> Result<MutexGuard<'_, ()>> {
+    let turn = timeout(MAX_PUBLICATION_WAIT, control.dispatch.publication.lock()).await;
+    turn.map_err(|_| {
+        let error = Error::not_run(Code::Deadline, "another document is being committed");
+        error.retry_after(PUBLICATION_RETRY_DELAY)
+    })
+}
+
 pub(super) async fn evacuate(control: &Control, evacuation: Evacuation) -> Result<Answer> {
     let (zone, is_active) = (evacuation.zone.clone(), evacuation.is_active);
     if zone.is_empty() || zone.len() > MAX_ZONE_BYTES {
--- a/src/control/group/driver.rs
+++ b/src/control/group/driver.rs
@@ -45,6 +45,13 @@
     *machine.lock() = restored;
 }
 
+/// A request that waits for its reply.
+pub(super) struct Waiter {
+    done: oneshot::Sender<Result<Reply>>,
+    // Proposed command, which is applied without being decoded.
+    record: Option<state::Record>,
+}
+
 /// State of the replica thread.
 pub(super) struct Driver {
     pub(super) timing: Timing,
@@ -60,9 +67,9 @@
     pub(super) status: watch::Sender<Status>,
     pub(super) next_token: u64,
     // Requests by token that the replica has not yet answered or placed at an index.
-    pub(super) requests_by_token: BTreeMap<u64, oneshot::Sender<Result<Reply>>>,
+    pub(super) requests_by_token: BTreeMap<u64, Waiter>,
     // Proposals by index, with the term, that are not yet committed.
-    pub(super) uncommitted: BTreeMap<u64, (u64, oneshot::Sender<Result<Reply>>)>,
+    pub(super) uncommitted: BTreeMap<u64, (u64, Waiter)>,
     // Reads that are answered once the index is applied.
     pub(super) pending_reads: Vec<(u64, oneshot::Sender<Result<Reply>>)>,
     pub(super) applied_index: u64,
@@ -168,7 +175,8 @@
                 return;
             }
             Request::Propose { command, done, .. } => {
-                let command = encode(&state::Record { at_ms: wall_ms(), command: *command });
+                let record = state::Record { at_ms: wall_ms(), command: *command };
+                let command = encode(&record);
                 if command.len() > MAX_COMMAND_BYTES {
                     let bytes = command.len();
                     let message = format!(
@@ -177,22 +185,26 @@
                     let _ = done.send(Err(Error::not_run(Code::TooLarge, message)));
                     return;
                 }
-                Input::Propose { token: self.register(done), command }
+                Input::Propose { token: self.register(done, Some(record)), command }
             }
             Request::Change { change, done } => {
-                Input::Change { token: self.register(done), change }
+                Input::Change { token: self.register(done, None), change }
             }
-            Request::Read { done } => Input::Read { token: self.register(done) },
+            Request::Read { done } => Input::Read { token: self.register(done, None) },
             Request::Message { from, message } => Input::Message { from, message },
             Request::Transfer => Input::Transfer,
         };
         effects.extend(self.step(input, now_ms));
     }
 
-    fn register(&mut self, done: oneshot::Sender<Result<Reply>>) -> u64 {
+    fn register(
+        &mut self,
+        done: oneshot::Sender<Result<Reply>>,
+        record: Option<state::Record>,
+    ) -> u64 {
         let token = self.next_token;
         self.next_token += 1;
-        self.requests_by_token.insert(token, done);
+        self.requests_by_token.insert(token, Waiter { done, record });
         token
     }
 
@@ -280,18 +292,18 @@
             Effect::Send { to, message } => self.mesh.send_replica(to, message),
             Effect::Apply(entries) => self.apply(entries),
             Effect::Proposed { token, index, term } => {
-                if let Some(done) = self.requests_by_token.remove(&token) {
-                    self.uncommitted.insert(index, (term, done));
+                if let Some(waiter) = self.requests_by_token.remove(&token) {
+                    self.uncommitted.insert(index, (term, waiter));
                 }
             }
             Effect::Refused { token, refusal } => {
-                if let Some(done) = self.requests_by_token.remove(&token) {
-                    let _ = done.send(Err(refusal_error(refusal)));
+                if let Some(waiter) = self.requests_by_token.remove(&token) {
+                    let _ = waiter.done.send(Err(refusal_error(refusal)));
                 }
             }
             Effect::ReadReady { token, index } => {
-                if let Some(done) = self.requests_by_token.remove(&token) {
-                    self.pending_reads.push((index, done));
+                if let Some(waiter) = self.requests_by_token.remove(&token) {
+                    self.pending_reads.push((index, waiter.done));
                 }
                 self.answer_reads();
             }
@@ -314,26 +326,34 @@
     // holds.
     fn fail_covered_proposals(&mut self) {
         let later = self.uncommitted.split_off(&(self.applied_index + 1));
-        for (_, (_, done)) in std::mem::replace(&mut self.uncommitted, later) {
+        for (_, (_, waiter)) in std::mem::replace(&mut self.uncommitted, later) {
             let message = "the change may be part of a snapshot of another leader";
-            let _ = done.send(Err(Error::may_have_run(Code::NotLeader, message)));
+            let _ = waiter.done.send(Err(Error::may_have_run(Code::NotLeader, message)));
         }
     }
 
     fn apply(&mut self, entries: Vec<Entry>) {
         for entry in entries {
-            let reply = match &entry.payload {
-                Payload::Command(bytes) => self.apply_command(&bytes.0),
-                Payload::Noop | Payload::Members(_) => Ok(Reply::Done),
+            let waiter = self.uncommitted.remove(&entry.index);
+            let (own, overtaken) = match waiter {
+                Some((term, waiter)) if term == entry.term => (Some(waiter), None),
+                Some((_, waiter)) => (None, Some(waiter)),
+                None => (None, None),
             };
-            self.applied_index = entry.index;
-            let Some((term, done)) = self.uncommitted.remove(&entry.index) else { continue };
-            let reply = if term == entry.term {
-                reply
-            } else {
-                Err(Error::not_run(Code::NotLeader, "leadership moved; the change was dropped"))
+            let record = own.as_ref().and_then(|waiter| waiter.record.as_ref());
+            let reply = match (&entry.payload, record) {
+                (Payload::Command(_), Some(record)) => self.machine.lock().apply(record),
+                (Payload::Command(bytes), None) => self.apply_command(&bytes.0),
+                (Payload::Noop | Payload::Members(_), _) => Ok(Reply::Done),
             };
-            let _ = done.send(reply);
+            self.applied_index = entry.index;
+            if let Some(waiter) = own {
+                let _ = waiter.done.send(reply);
+            }
+            if let Some(waiter) = overtaken {
+                let message = "leadership moved; the change was dropped";
+                let _ = waiter.done.send(Err(Error::not_run(Code::NotLeader, message)));
+            }
         }
         self.publish_status();
         self.answer_reads();
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -5,6 +5,7 @@
 
 use super::call::{Answer, Call};
 use crate::error;
+use crate::kernel::buffer::Buffer;
 use crate::replica;
 use crate::replica::member::Id;
 use crate::routing::upstream;
@@ -115,7 +116,7 @@
 /// Encodes a value as CBOR.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     let mut bytes = Vec::new();
-    ciborium::into_writer(value, &mut bytes).expect("writing to a Vec does not fail");
+    ciborium::into_writer(value, Buffer(&mut bytes)).expect("writing to a Vec does not fail");
     bytes
 }
 
--- a/src/mesh/link.rs
+++ b/src/mesh/link.rs
@@ -13,6 +13,8 @@
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::frame::Frame as Fragment;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::{Data, OpCode};
 use tokio_tungstenite::tungstenite::{self, Message};
 
 use super::bounded::Bounded;
@@ -29,6 +31,9 @@
 const MAX_HANDSHAKES: usize = 512;
 /// Size of the buffer into which a link reads, in bytes. Each handshake in progress has one too.
 const READ_BUFFER_BYTES: usize = 32 << 10;
+/// Longest part of a message that is written at once, in bytes: the socket's buffer keeps the capacity of
+/// the longest one.
+const MAX_FRAGMENT_BYTES: usize = 64 << 10;
 /// Limit for writing one frame.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Frames that are flushed together; more would delay the first ones.
@@ -159,9 +164,9 @@
 async fn write_frames(mut sink: SplitSink<Socket, Message>, mut outgoing: mpsc::Receiver<Frame>) {
     loop {
         let first = match timeout(PING_INTERVAL, outgoing.recv()).await {
-            Ok(Some(frame)) => Message::binary(encode(&frame)),
+            Ok(Some(frame)) => Some(frame),
             Ok(None) => return,
-            Err(_) => Message::Ping(Bytes::new()),
+            Err(_) => None,
         };
         let result = timeout(WRITE_TIMEOUT, write_queued(&mut sink, first, &mut outgoing)).await;
         if !matches!(result, Ok(Ok(()))) {
@@ -170,24 +175,45 @@
     }
 }
 
-// Writes a message and the frames that are queued behind it, in one piece where they fit in the
-// socket's buffer.
+// Writes a frame, or a ping if there is none, and the frames that are queued behind it, in one piece
+// where they fit in the socket's buffer.
 async fn write_queued(
     sink: &mut SplitSink<Socket, Message>,
-    first: Message,
+    first: Option<Frame>,
     outgoing: &mut mpsc::Receiver<Frame>,
 ) -> std::result::Result<(), tungstenite::Error> {
-    Metrics::global().count_mesh_bytes(first.len() as u64);
-    sink.feed(first).await?;
+    match first {
+        Some(frame) => feed(sink, frame).await?,
+        None => sink.feed(Message::Ping(Bytes::new())).await?,
+    }
     for _ in 1..MAX_FRAMES_PER_FLUSH {
         let Ok(frame) = outgoing.try_recv() else { break };
-        let message = Message::binary(encode(&frame));
-        Metrics::global().count_mesh_bytes(message.len() as u64);
-        sink.feed(message).await?;
+        feed(sink, frame).await?;
     }
     sink.flush().await
 }
 
+// Writes a frame as one message, which is fragmented if it is long.
+async fn feed(
+    sink: &mut SplitSink<Socket, Message>,
+    frame: Frame,
+) -> std::result::Result<(), tungstenite::Error> {
+    let mut rest = Bytes::from(encode(&frame));
+    drop(frame);
+    Metrics::global().count_mesh_bytes(rest.len() as u64);
+    if rest.len() <= MAX_FRAGMENT_BYTES {
+        return sink.feed(Message::Binary(rest)).await;
+    }
+    let mut kind = Data::Binary;
+    while !rest.is_empty() {
+        let part = rest.split_to(rest.len().min(MAX_FRAGMENT_BYTES));
+        let fragment = Fragment::message(part, OpCode::Data(kind), rest.is_empty());
+        sink.send(Message::Frame(fragment)).await?;
+        kind = Data::Continue;
+    }
+    Ok(())
+}
+
 async fn read_frames<H: Handler>(
     mesh: &Mesh,
     peer: &super::Hello,
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use miette::{IntoDiagnostic, WrapErr};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::batch::call::{Answer, Request};
 use crate::control::Control;
@@ -33,9 +33,14 @@
 /// for a change of leader.
 const READY_TIMEOUT_MS: u64 = 4_000;
 
-/// Maximum concurrent requests that carry a whole document: more than the orders that an operator has
-/// in progress. Each takes several times the size of the document.
-const MAX_DOCUMENT_REQUESTS: usize = 8;
+/// Maximum concurrent reads of the document: more than an operator has in progress.
+const MAX_DOCUMENT_READS: usize = 8;
+/// Maximum number of documents that are decoded and sent to the leader at a time: each takes several
+/// times its size.
+const MAX_PUBLICATIONS: usize = 1;
+
+/// Delay after which the sender of a document that had to wait too long may try again.
+const DOCUMENT_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// A running daemon.
 pub struct Node {
@@ -48,7 +53,8 @@
     seeds: Mutex<Vec<SocketAddr>>,
     // Time of the last answer from a leader; `None` before the first answer.
     last_answer_ms: Mutex<Option<u64>>,
-    document_requests: Semaphore,
+    document_reads: Semaphore,
+    publications: Semaphore,
 }
 
 struct Dispatcher {
@@ -111,7 +117,8 @@
             known_members: known_members.clone(),
             seeds: Mutex::new(Rank::Leader, seeds),
             last_answer_ms: Mutex::new(Rank::Leader, None),
-            document_requests: Semaphore::new(MAX_DOCUMENT_REQUESTS),
+            document_reads: Semaphore::new(MAX_DOCUMENT_READS),
+            publications: Semaphore::new(MAX_PUBLICATIONS),
             settings,
         });
         let discovering_node = node.clone();
@@ -154,19 +161,24 @@
     }
 
     async fn call_leader(&self, request: Request, within: Duration) -> Result<Answer> {
-        if !matches!(request, Request::Document | Request::Publish(_)) {
+        if !matches!(request, Request::Document) {
             return self.client.call_batch(request, within).await;
         }
         let started_ms = self.timer.now_ms();
-        let permit = tokio::time::timeout(within, self.document_requests.acquire()).await;
-        if permit.is_err() {
-            let message = "too many requests for documents are in progress";
-            return Err(Error::not_run(Code::Deadline, message));
-        }
+        let _permit = acquire(&self.document_reads, within).await?;
         let waited = Duration::from_millis(self.timer.now_ms() - started_ms);
         self.client.call_batch(request, within.saturating_sub(waited)).await
     }
 
+    /// Waits until a document may be decoded and sent to the leader. That holds for as long as the
+    /// permit is kept.
+    ///
+    /// # Errors
+    /// If others take longer than that.
+    pub async fn admit_publication(&self, within: Duration) -> Result<SemaphorePermit<'_>> {
+        acquire(&self.publications, within).await
+    }
+
     /// Returns whether the daemon can serve callers, which requires a recent answer from a leader.
     pub fn is_ready(&self) -> bool {
         let last_answer_ms = *self.last_answer_ms.lock();
@@ -240,6 +252,14 @@
     }
 }
 
+async fn acquire(permits: &Semaphore, within: Duration) -> Result<SemaphorePermit<'_>> {
+    let permit = tokio::time::timeout(within, permits.acquire()).await;
+    permit.ok().and_then(|permit| permit.ok()).ok_or_else(|| {
+        let message = "too many requests for documents are in progress";
+        Error::not_run(Code::Deadline, message).retry_after(DOCUMENT_RETRY_DELAY)
+    })
+}
+
 // At bootstrap the seeds become the initial voters. Their identities are derived from their
 // addresses, so that every seed computes the same membership.
 fn open_store(
--- a/src/replica/append.rs
+++ b/src/replica/append.rs
@@ -7,6 +7,9 @@
 
 /// Maximum number of unanswered batches per follower.
 const MAX_INFLIGHT_BATCHES: usize = 8;
+/// Bytes of unanswered batches per follower from which on no further one is sent: several batches of
+/// small entries, or a single entry that is larger than a batch.
+const MAX_INFLIGHT_BYTES: usize = 1 << 20;
 
 /// Replication state of a follower, as tracked by the leader.
 #[derive(Debug)]
@@ -16,8 +19,8 @@
     pub(super) match_index: u64,
     // Whether `next_index` is an estimate. While it is, only one batch at a time is sent.
     pub(super) is_probing: bool,
-    // Last index of each batch that was sent and not answered.
-    in_flight: VecDeque<u64>,
+    // Last index and size of each batch that was sent and not answered.
+    in_flight: VecDeque<(u64, usize)>,
     // Whether a snapshot chunk was sent and not answered.
     pub(super) is_chunk_in_flight: bool,
     // When the leader sent the latest message that the follower has answered, by the leader's
@@ -45,6 +48,13 @@
         }
     }
 
+    // Whether another batch may be sent before an answer arrives.
+    fn has_window(&self) -> bool {
+        let max_batches = if self.is_probing { 1 } else { MAX_INFLIGHT_BATCHES };
+        let bytes: usize = self.in_flight.iter().map(|(_, bytes)| bytes).sum();
+        self.in_flight.len() < max_batches && bytes < MAX_INFLIGHT_BYTES
+    }
+
     fn is_unanswered(&self) -> bool {
         self.is_chunk_in_flight || !self.in_flight.is_empty()
     }
@@ -144,9 +154,7 @@
             self.send_chunk(to, is_heartbeat);
             return;
         }
-        let max_inflight = if progress.is_probing { 1 } else { MAX_INFLIGHT_BATCHES };
-        let can_send_entries =
-            progress.in_flight.len() < max_inflight && progress.next_index <= last_index;
+        let can_send_entries = progress.has_window() && progress.next_index <= last_index;
         if !can_send_entries && !is_heartbeat {
             return;
         }
@@ -157,7 +165,8 @@
             Vec::new()
         };
         if let Some(last) = entries.last() {
-            progress.in_flight.push_back(last.index);
+            let bytes = entries.iter().map(Entry::approximate_bytes).sum();
+            progress.in_flight.push_back((last.index, bytes));
             progress.last_sent_ms = now_ms;
             if !progress.is_probing {
                 progress.next_index += entries.len() as u64;
@@ -234,7 +243,7 @@
         progress.is_chunk_in_flight = false;
         if matches && index <= last_index {
             // The answer to an empty heartbeat ends no batch that was sent after it.
-            progress.in_flight.retain(|last| *last > index);
+            progress.in_flight.retain(|(last, _)| *last > index);
             progress.snapshot_offset = None;
             progress.is_probing = false;
             progress.match_index = progress.match_index.max(index);
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -105,9 +105,16 @@
     Members(Members),
 }
 
-/// Bytes that are serialized as a CBOR byte string instead of an array of integers.
+/// Bytes that are serialized as a CBOR byte string instead of an array of integers. Clones share them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Bytes(pub Vec<u8>);
+pub struct Bytes(pub bytes::Bytes);
+
+impl From<Vec<u8>> for Bytes {
+    // What is kept has no spare capacity.
+    fn from(bytes: Vec<u8>) -> Self {
+        Self(bytes.into_boxed_slice().into())
+    }
+}
 
 impl Serialize for Bytes {
     fn serialize<S: serde::Serializer>(&self, to: S) -> std::result::Result<S::Ok, S::Error> {
@@ -119,7 +126,7 @@
     fn deserialize<D: serde::Deserializer<'de>>(from: D) -> std::result::Result<Self, D::Error> {
         let value = ciborium::value::Value::deserialize(from)?;
         let bytes = value.into_bytes();
-        bytes.map(Self).map_err(|_| serde::de::Error::custom("not a byte string"))
+        bytes.map(Self::from).map_err(|_| serde::de::Error::custom("not a byte string"))
     }
 }
 
@@ -238,7 +245,7 @@
             Input::Tick => self.tick(),
             Input::Message { from, message } => self.receive(from, message),
             Input::Propose { token, command } => {
-                self.propose(token, Payload::Command(Bytes(command)));
+                self.propose(token, Payload::Command(command.into()));
             }
             Input::Change { token, change } => self.change_members(token, &change),
             Input::Read { token } => self.read(token),
--- a/src/replica/snapshot.rs
+++ b/src/replica/snapshot.rs
@@ -45,7 +45,7 @@
             index,
             term,
             members: self.log.members_at(index),
-            data: Arc::new(Bytes(data)),
+            data: Arc::new(data.into()),
         };
         self.log.compact(snapshot.clone());
         self.effects.push(Effect::SaveSnapshot { snapshot, reset: false });
@@ -68,7 +68,7 @@
         progress.last_sent_ms = now_ms;
         let start = offset as usize;
         let end = data.0.len().min(start + chunk_bytes);
-        let piece = Bytes(data.0[start..end].to_vec());
+        let piece = Bytes(data.0.slice(start..end));
         let length = data.0.len() as u64;
         self.send(to, Body::Chunk { head, offset, piece, length, sent_ms: now_ms });
     }
@@ -107,7 +107,7 @@
             self.send(from, Body::Chunked { index: head.index, offset, sent_ms });
             return;
         }
-        self.install(Snapshot { data: Arc::new(Bytes(incoming.data)), ..head });
+        self.install(Snapshot { data: Arc::new(incoming.data.into()), ..head });
         let index = self.log.snapshot().index;
         self.send(from, Body::Appended { index, matches: true, sent_ms });
     }
--- a/src/replica/store/record.rs
+++ b/src/replica/store/record.rs
@@ -6,6 +6,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::kernel::buffer::Buffer;
+
 /// Magic bytes at the start of each record. They are used to find later records after invalid data.
 const MAGIC: [u8; 4] = *b"EVr1";
 /// Magic bytes, length, durable offset and checksum.
@@ -65,7 +67,7 @@
 pub(super) fn encode<T: Serialize>(buffer: &mut Vec<u8>, durable_offset: u64, value: &T) {
     let start = buffer.len();
     buffer.extend_from_slice(&[0; HEADER_BYTES]);
-    ciborium::into_writer(value, &mut *buffer).expect("encoding into memory does not fail");
+    ciborium::into_writer(value, Buffer(buffer)).expect("encoding into memory does not fail");
     let (header, body) = buffer[start..].split_at_mut(HEADER_BYTES);
     let body_bytes = u32::try_from(body.len()).expect("a record is shorter than 4 GiB");
     header[..4].copy_from_slice(&MAGIC);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -338,7 +338,7 @@
 
     /// Maximum size of the replicated log, in bytes, at which a snapshot is taken.
     pub fn max_log_bytes(&self) -> u64 {
-        self.log_bytes.min((self.memory_mb as u64) << 20 >> 4)
+        self.log_bytes.min(((self.memory_mb as u64) << 20) / 24)
     }
 
     /// Maximum concurrent connections of the listeners for callers and for operators. The other
--- a/tests/batch_fleet.rs
+++ b/tests/batch_fleet.rs
@@ -667,7 +667,7 @@
 fn workers_of_a_removed_pool_are_heard() {
     let mut harness = with_running_task();
     let document = Document { revision: 2, ..Document::default() };
-    harness.apply(Command::Publish(Box::new(document)));
+    harness.apply(Command::Publish(document.into()));
     assert!(!harness.receive_heartbeat("w0", |_| {}).is_ignored);
     harness.fleet = eelgrassvalve::batch::fleet::Fleet::default();
     assert!(!harness.receive_heartbeat("w0", |_| {}).is_ignored, "by a new leader too");
--- a/tests/batch_table.rs
+++ b/tests/batch_table.rs
@@ -244,9 +244,9 @@
 #[case::lower(0, 1)]
 fn the_highest_revision_is_in_force(#[case] published: u64, #[case] expected: u64) {
     let mut table = Table::default();
-    table.apply(&Command::Publish(Box::new(document())), 0).expect("applies");
+    table.apply(&Command::Publish(document().into()), 0).expect("applies");
     let next = Document { revision: published, queues: Vec::new(), ..document() };
-    table.apply(&Command::Publish(Box::new(next)), 0).expect("applies");
+    table.apply(&Command::Publish(next.into()), 0).expect("applies");
     assert_eq!(table.document.revision, expected);
     assert_eq!(
         table.document.queues.is_empty(),
--- a/tests/fault_disk.rs
+++ b/tests/fault_disk.rs
@@ -10,7 +10,7 @@
 use eelgrassvalve::replica::member::{Id, Members};
 use eelgrassvalve::replica::store::disk::Disk;
 use eelgrassvalve::replica::store::{Error, Store};
-use eelgrassvalve::replica::{self, Bytes, Entry, Payload, Snapshot, Vote};
+use eelgrassvalve::replica::{self, Entry, Payload, Snapshot, Vote};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -187,13 +187,13 @@
 }
 
 fn entry(index: u64, term: u64) -> Entry {
-    Entry { index, term, payload: Payload::Command(Bytes(vec![index as u8; 40])) }
+    Entry { index, term, payload: Payload::Command(vec![index as u8; 40].into()) }
 }
 
 fn snapshot(index: u64, term: u64) -> Snapshot {
     let mut members = Members::default();
     members.voters.insert(Id(1), "host-1".into());
-    Snapshot { index, term, members, data: Arc::new(Bytes(vec![7; 100])) }
+    Snapshot { index, term, members, data: Arc::new(vec![7; 100].into()) }
 }
 
 fn changes() -> Vec<Change> {
@@ -446,7 +446,7 @@
     let (mut store, _) = Store::open(&folder.0).expect("the folder opens");
     store.save_vote(Vote { term: 1, candidate: None }).expect("the state is saved");
     for index in 1..=2 {
-        let payload = Payload::Command(Bytes(vec![1; 5 << 20]));
+        let payload = Payload::Command(vec![1; 5 << 20].into());
         store.append(&[Entry { index, term: 1, payload }]).expect("the entries are written");
         store.sync().expect("the log is synced");
     }
--- a/tests/fault_group.rs
+++ b/tests/fault_group.rs
@@ -83,7 +83,7 @@
 }
 
 fn conflicting_snapshot() -> Body {
-    let piece = Bytes(encode(&Machine::default()));
+    let piece = Bytes::from(encode(&Machine::default()));
     let head = Snapshot { index: PROPOSAL_INDEX, term: LEADER_TERM + 1, ..Snapshot::default() };
     let length = piece.0.len() as u64;
     Body::Chunk { head, offset: 0, piece, length, sent_ms: 0 }
--- a/tests/fault_refusal.rs
+++ b/tests/fault_refusal.rs
@@ -123,7 +123,7 @@
 #[case::malformed(submit(), no_quorum(), Code::BadRequest)]
 #[case::no_document(submit(), Response::Silence, Code::NoLease)]
 #[case::cancel(batch(Request::Cancel(target())), no_quorum(), Code::Unauthorized)]
-#[case::document(batch(Request::Publish(Box::default())), no_quorum(), Code::Unsatisfiable)]
+#[case::document(batch(Request::Publish(Arc::default())), no_quorum(), Code::Unsatisfiable)]
 #[case::command(
     Call::Propose(Command::Batch(table::Command::Cancel(job::Id(1)))),
     no_quorum(),
--- a/tests/fault_reopen.rs
+++ b/tests/fault_reopen.rs
@@ -10,7 +10,7 @@
 use eelgrassvalve::replica::member::{Id, Members};
 use eelgrassvalve::replica::store::Store;
 use eelgrassvalve::replica::store::disk::Disk;
-use eelgrassvalve::replica::{Bytes, Entry, Payload, Snapshot, Vote};
+use eelgrassvalve::replica::{Entry, Payload, Snapshot, Vote};
 use rstest::rstest;
 
 /// Operation that fails while the disk is faulty.
@@ -77,7 +77,7 @@
 }
 
 fn entry(index: u64) -> Entry {
-    Entry { index, term: 1, payload: Payload::Command(Bytes(vec![index as u8; 40])) }
+    Entry { index, term: 1, payload: Payload::Command(vec![index as u8; 40].into()) }
 }
 
 #[rstest]
--- a/tests/fuzz_batch.rs
+++ b/tests/fuzz_batch.rs
@@ -176,7 +176,7 @@
         let customer = Customer { guaranteed, ..document().customers[0].clone() };
         let changed =
             Document { revision: 2, queues: vec![queue], customers: vec![customer], ..document() };
-        harness.apply(Command::Publish(Box::new(changed)));
+        harness.apply(Command::Publish(changed.into()));
         for (id, (spec, terms)) in jobs.into_iter().enumerate() {
             if spec.fault().is_none() {
                 harness.apply(Command::Submit(Box::new(submission(id as u64, terms, spec))));
--- a/tests/load_guarantee.rs
+++ b/tests/load_guarantee.rs
@@ -44,7 +44,7 @@
                 guaranteed: *guaranteed,
             });
         }
-        harness.apply(Command::Publish(Box::new(document)));
+        harness.apply(Command::Publish(document.into()));
         Self { harness, workers, stopping: Vec::new(), stopped: BTreeSet::new() }
     }
 
--- a/tests/load_share.rs
+++ b/tests/load_share.rs
@@ -19,7 +19,7 @@
         guaranteed: *guaranteed,
     });
     let document = Document { revision: 2, customers: customers.collect(), ..document() };
-    harness.apply(Command::Publish(Box::new(document)));
+    harness.apply(Command::Publish(document.into()));
     harness
 }
 
--- a/tests/load_urgent.rs
+++ b/tests/load_urgent.rs
@@ -228,7 +228,7 @@
     let mut document = support::batch::document();
     document.revision = harness.table.document.revision + 1;
     document.customers[0].guaranteed = accelerators;
-    harness.apply(Command::Publish(Box::new(document)));
+    harness.apply(Command::Publish(document.into()));
 }
 
 /// Guards against guaranteed gangs that run three times as long because they are placed far from
--- a/tests/moved_queue.rs
+++ b/tests/moved_queue.rs
@@ -21,7 +21,7 @@
 }
 
 fn publish(harness: &mut Harness, document: Document) {
-    harness.apply(Command::Publish(Box::new(document)));
+    harness.apply(Command::Publish(document.into()));
 }
 
 /// A harness with `w0` and `w1` in the pool `pool`, and `w2` and `w3` in the pool `other`.
--- a/tests/support/batch.rs
+++ b/tests/support/batch.rs
@@ -77,9 +77,7 @@
 impl Harness {
     pub fn new() -> Self {
         let mut table = Table::default();
-        table
-            .apply(&Command::Publish(Box::new(document())), 1_000_000)
-            .expect("the command is valid");
+        table.apply(&Command::Publish(document().into()), 1_000_000).expect("the command is valid");
         Self {
             table,
             fleet: Fleet::default(),
