--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod crash_loop;
 mod foreign_job;
+mod hopeless;
 mod host_case;
 mod http;
 mod json;
@@ -59,6 +60,7 @@
         "two-queues" => two_queues::run(record, has_trouble),
         "reserved" => reserved::run(record, has_trouble),
         "crash-loop" => crash_loop::run(record, has_trouble),
+        "hopeless" => hopeless::run(record, has_trouble),
         "same-shape" => same_shape::run(record, has_trouble),
         "moved-queue" => moved_queue::run(record, has_trouble),
         "host-case" => host_case::run(record, has_trouble),
