The search for room takes memory in proportion to the runs of a pool

Cause: each slot on a worker had a copy of the list of all victims of the slots before it, n * n / 2 indices for n runs, and the slots of all workers were kept at the same time. A large run that makes room for many small tasks had a slot for each of them.

Change: slots that the same victims make are one entry, which names its victims by their number in one list a worker; what the runs of a step share is kept once (32 bytes a run in place of about 220). The same cause on related paths: reservations for gangs, quotas that were copied for each run, the lookup of a run in its heartbeat, and the count of long-running tasks at work.

--- a/src/batch/fleet.rs
+++ b/src/batch/fleet.rs
@@ -142,7 +142,7 @@
     /// Receives a heartbeat and returns which runs placed on the worker have ended.
     pub fn receive(
         &mut self,
-        heartbeat: Heartbeat,
+        mut heartbeat: Heartbeat,
         table: &Table,
         lease_ms: u64,
         now_ms: u64,
@@ -157,6 +157,8 @@
         if is_late || has_left || self.is_foreign(&heartbeat, table) {
             return Receipt { is_ignored: true, ..Receipt::default() };
         }
+        // Runs are looked up by their task: a worker may have thousands.
+        heartbeat.running.sort_by_key(|row| (row.task, row.run));
         let lease_until_ms = now_ms + lease_bound_ms(lease_ms);
         let worker = heartbeat.worker.clone();
         if known.is_none_or(|session| session.heartbeat.incarnation != heartbeat.incarnation) {
--- a/src/batch/fleet/session.rs
+++ b/src/batch/fleet/session.rs
@@ -14,7 +14,7 @@
 use crate::batch::job::{Resources, TaskId};
 use crate::batch::table::{End, Table};
 use crate::batch::throttle::{FULL_PERCENT, Throttle};
-use crate::batch::worker::{Heartbeat, Stamp};
+use crate::batch::worker::{Heartbeat, Run, Stamp};
 
 /// Time before a worker leaves at which its runs are stopped, in milliseconds: one round and one
 /// heartbeat to deliver the order, 400 ms for the stop, and one heartbeat that reports the ends.
@@ -33,7 +33,7 @@
 /// The leader's state for one incarnation of a worker.
 #[derive(Debug)]
 pub struct Session {
-    /// Latest heartbeat.
+    /// Latest heartbeat; its running tasks are sorted.
     pub heartbeat: Heartbeat,
     /// Latest time at which the latest heartbeat can have been composed, on the leader's clock, in
     /// milliseconds. A heartbeat may arrive seconds late, when its worker no longer exists.
@@ -291,8 +291,13 @@
 
     /// Progress of a run in percent, if the worker has reported it.
     pub fn progress_percent(&self, task: &TaskId, run: u32) -> Option<u8> {
-        let row = self.heartbeat.running.iter().find(|row| row.task == *task && row.run == run);
-        row.map(|row| row.percent)
+        self.row(task, run).map(|row| row.percent)
+    }
+
+    fn row(&self, task: &TaskId, run: u32) -> Option<&Run> {
+        let rows = &self.heartbeat.running;
+        let at = rows.binary_search_by_key(&(*task, run), |row| (row.task, row.run)).ok()?;
+        rows.get(at)
     }
 
     /// Whether the worker will leave before it could execute an order given now and report the
@@ -377,8 +382,7 @@
     }
 
     pub(super) fn checkpoint(&self, task: &TaskId, run: u32) -> &str {
-        let row = self.heartbeat.running.iter().find(|row| row.task == *task && row.run == run);
-        row.map_or("", |row| &row.checkpoint)
+        self.row(task, run).map_or("", |row| &row.checkpoint)
     }
 
     // Updates the progress of the worker's runs from a new heartbeat.
--- a/src/batch/plan/evict.rs
+++ b/src/batch/plan/evict.rs
@@ -7,7 +7,7 @@
 use super::allocation::{is_eligible, task_limit_on};
 use super::{Candidate, Cluster, View, candidate, foresight, worker_groups};
 use crate::batch::job::{Resources, Step, TaskId};
-use index::{Allocation, Index, Quotas};
+use index::{Allocation, Index, Taken};
 
 /// Runs to evict, and the slots that they free together with the capacity that is free already or soon.
 #[derive(Debug)]
@@ -31,22 +31,33 @@
 pub(super) struct Evictor<'a> {
     view: View<'a>,
     index: Option<Index<'a>>,
-    // Victims that an earlier search of the decision selected.
-    evicted: BTreeSet<usize>,
+    // What earlier searches of the decision have selected.
+    spent: Budget,
 }
 
-/// Room for one task, with the victims that must stop for it.
+/// Room for some tasks on one worker, made by the same victims.
 struct Slot {
-    worker: usize,
+    // Position of the worker among those that are searched.
+    member: usize,
+    tasks: u64,
     // When the last run that is waited for is expected to end; 0 if there is none.
     at_ms: u64,
+    // Cost of the victims that no earlier slot on the worker has.
     cost_core_ms: u64,
+    // Number of the worker's victims that must stop: a slot also relies on those of the earlier ones.
+    victims: usize,
+}
+
+/// Slots on one worker, with the victims that make them, in the order in which they are needed.
+#[derive(Default)]
+struct Slots {
+    slots: Vec<Slot>,
     victims: Vec<usize>,
 }
 
 impl<'a> Evictor<'a> {
     pub(super) fn new(view: View<'a>) -> Self {
-        Self { view, index: None, evicted: BTreeSet::new() }
+        Self { view, index: None, spent: Budget::default() }
     }
 
     /// Finds room for the whole step: where runs end by themselves soon enough, otherwise where the
@@ -85,10 +96,10 @@
     ) -> Option<Room> {
         let view = self.view;
         let index = self.index.get_or_insert_with(|| Index::new(&view));
+        let search = Search { cluster, candidate, index, spent: &self.spent, terms };
         let mut best: Option<Room> = None;
         for members in worker_groups(cluster, candidate) {
-            let room = find_room(cluster, candidate, members, index, &self.evicted, terms);
-            let Some(room) = room else { continue };
+            let Some(room) = search.find_room(&members) else { continue };
             if best.as_ref().is_none_or(|best| room.rank() < best.rank()) {
                 best = Some(room);
             }
@@ -101,27 +112,24 @@
         let view = self.view;
         let index = self.index.get_or_insert_with(|| Index::new(&view));
         let mut slots = BTreeMap::new();
-        for slot in room.slots {
-            *slots.entry(cluster.workers[slot.worker].name.to_string()).or_insert(0) += 1;
+        for (worker, tasks) in room.tasks {
+            *slots.entry(cluster.workers[worker].name.to_string()).or_insert(0) += tasks;
         }
-        for victim in &room.victims {
-            index.quotas.take(&index.victims[*victim]);
+        let runs = room.victims.iter().flat_map(|victim| index.runs_of(*victim)).collect();
+        let mut freed: BTreeMap<&str, Resources> = BTreeMap::new();
+        for (worker, allocation) in index.allocations_of(&room.victims) {
+            freed.entry(worker).or_default().add(index.demand(allocation), false);
         }
-        self.evicted.extend(room.victims.iter().copied());
-        let runs = room.victims.iter().flat_map(|at| index.victims[*at].runs.clone()).collect();
-        let mut freed = Vec::new();
-        for (worker, allocations) in &index.allocations {
-            for allocation in allocations.iter().filter(|one| room.victims.contains(&one.victim)) {
-                freed.push((worker.to_string(), allocation.demand));
-            }
-        }
-        Selection { runs, slots, freed }
+        let freed = freed.into_iter().map(|(worker, demand)| (worker.to_string(), demand));
+        self.spent.spend(index, room.victims);
+        Selection { runs, slots, freed: freed.collect() }
     }
 }
 
 /// Room for the whole step in a group of workers.
 struct Room {
-    slots: Vec<Slot>,
+    // Workers, each with a number of tasks; one may occur several times.
+    tasks: Vec<(usize, u64)>,
     // A gang that is evicted for several slots is counted once.
     victims: BTreeSet<usize>,
     cost_core_ms: u64,
@@ -135,158 +143,207 @@
     }
 }
 
-// The cheapest room for the step that a group of workers has.
-fn find_room(
-    cluster: &Cluster<'_>,
-    candidate: &Candidate<'_>,
-    members: Vec<usize>,
-    index: &Index<'_>,
-    evicted: &BTreeSet<usize>,
-    terms: Terms,
-) -> Option<Room> {
-    let mut slots = Vec::new();
-    for at in members {
-        slots.extend(slots_on(cluster, candidate, at, index, evicted, terms));
-    }
-    let required = candidate.tasks.len();
-    if slots.len() < required {
-        return None;
-    }
-    slots.sort_by_key(|slot| (slot.cost_core_ms, slot.at_ms));
-    let (slots, victims) = cheapest_within_quotas(index, slots, required)?;
-    let at_ms = slots.iter().map(|slot| slot.at_ms).max().unwrap_or(0);
-    let costs = victims.iter().map(|at| index.victims[*at].cost_core_ms);
-    let cost_core_ms = costs.fold(0, u64::saturating_add);
-    Some(Room { slots, victims, cost_core_ms, at_ms })
-}
-
-// The first `required` slots whose victims the quotas permit, with all these victims.
-fn cheapest_within_quotas(
-    index: &Index<'_>,
-    slots: Vec<Slot>,
-    required: usize,
-) -> Option<(Vec<Slot>, BTreeSet<usize>)> {
-    let mut budget = Budget::new(&index.quotas);
-    let mut chosen = Vec::new();
-    for slot in slots {
-        if chosen.len() == required {
-            break;
-        }
-        if !budget.allows(index, slot.victims.iter().copied()) {
-            continue;
-        }
-        budget.spend(index, &slot.victims);
-        chosen.push(slot);
-    }
-    (chosen.len() == required).then_some((chosen, budget.victims))
-}
-
-/// What the quotas leave after the victims that are selected so far.
+/// Victims that are selected, and what they take from the quotas.
+#[derive(Clone, Debug, Default)]
 struct Budget {
-    quotas: Quotas,
+    taken: Taken,
     victims: BTreeSet<usize>,
 }
 
 impl Budget {
-    fn new(quotas: &Quotas) -> Self {
-        Self { quotas: quotas.clone(), victims: BTreeSet::new() }
-    }
-
-    // Whether all these victims can be added.
-    fn allows(&self, index: &Index<'_>, victims: impl Iterator<Item = usize> + Clone) -> bool {
-        if victims.clone().all(|victim| index.victims[victim].is_unlimited()) {
-            return true;
+    // Adds victims that the quotas permit.
+    fn spend(&mut self, index: &Index<'_>, victims: impl IntoIterator<Item = usize>) {
+        for victim in victims {
+            if self.victims.insert(victim) {
+                self.taken.take(index, victim);
+            }
         }
-        let added: BTreeSet<usize> = victims.collect();
-        let mut quotas = self.quotas.clone();
-        added.difference(&self.victims).all(|victim| quotas.take(&index.victims[*victim]))
     }
 
-    fn spend(&mut self, index: &Index<'_>, victims: &[usize]) {
-        for victim in victims {
-            if self.victims.insert(*victim) {
-                self.quotas.take(&index.victims[*victim]);
+    // Adds all these victims, or none if the quotas don't permit that. Returns whether it has.
+    fn try_spend(&mut self, index: &Index<'_>, victims: &[usize]) -> bool {
+        let is_new = |victim: &&usize| !self.victims.contains(victim);
+        let limited = victims.iter().filter(|victim| !index.is_unlimited(**victim));
+        let limited: BTreeSet<usize> = limited.filter(is_new).copied().collect();
+        if !limited.is_empty() {
+            let mut taken = self.taken.clone();
+            if !limited.iter().all(|victim| taken.take(index, *victim)) {
+                return false;
             }
+            self.taken = taken;
         }
+        self.victims.extend(victims);
+        true
     }
 }
 
-// Slots on one worker, each with the victims that must stop for it, cheapest first.
-fn slots_on(
-    cluster: &Cluster<'_>,
-    candidate: &Candidate<'_>,
-    at: usize,
-    index: &Index<'_>,
-    evicted: &BTreeSet<usize>,
+/// A search for room for a step.
+struct Search<'a> {
+    cluster: &'a Cluster<'a>,
+    candidate: &'a Candidate<'a>,
+    index: &'a Index<'a>,
+    spent: &'a Budget,
     terms: Terms,
-) -> Vec<Slot> {
-    let step = candidate.step;
-    let worker = &cluster.workers[at];
-    if !is_eligible(candidate, worker) {
-        return Vec::new();
-    }
-    let limit = task_limit_on(candidate, worker);
-    let mut free = worker.free;
-    let mut slots = Vec::new();
-    let mut pending: Vec<Allocation> = Vec::new();
-    let mut budget = Budget::new(&index.quotas);
-    let allocations = index.allocations.get(worker.name).map_or(&[][..], Vec::as_slice);
-    let allocations = if terms.may_evict { allocations } else { &[] };
-    let endings = foresight::endings_until(cluster, at, terms.until_ms);
-    let mut evictable = allocations.iter().filter(|allocation| {
-        !evicted.contains(&allocation.victim)
-            && !endings.iter().any(|ending| ending.task == allocation.task)
-            && index.victims[allocation.victim].yields_to(candidate, &cluster.view)
-    });
-    let mut endings = endings.iter();
-    let mut owed = cluster.owed[at];
-    let mut at_ms = 0;
-    while (slots.len() as u64) < limit {
-        if free.count_fitting(&step.demand, step.is_filler) > 0 {
-            drop_unneeded(&mut pending, &mut free, step);
-            let cost_core_ms = pending
-                .iter()
-                .map(|allocation| index.victims[allocation.victim].cost_core_ms)
-                .fold(0, u64::saturating_add);
-            let victims: Vec<usize> =
-                pending.drain(..).map(|allocation| allocation.victim).collect();
-            budget.spend(index, &victims);
-            free.subtract(&step.demand, step.is_filler);
-            slots.push(Slot { worker: at, at_ms, cost_core_ms, victims });
-            continue;
+}
+
+impl Search<'_> {
+    // The cheapest room for the step that a group of workers has.
+    fn find_room(&self, members: &[usize]) -> Option<Room> {
+        let mut slots = Vec::new();
+        let mut victims = Vec::with_capacity(members.len());
+        for (member, at) in members.iter().enumerate() {
+            let on_worker = self.slots_on(*at, member);
+            slots.extend(on_worker.slots);
+            victims.push(on_worker.victims);
+        }
+        let required = self.candidate.tasks.len() as u64;
+        if slots.iter().map(|slot| slot.tasks).fold(0, u64::saturating_add) < required {
+            return None;
         }
-        if let Some(ending) = endings.next() {
-            free.add(&ending.demand, ending.is_filler);
-            free.settle(&mut owed);
-            at_ms = ending.at_ms;
-            continue;
+        slots.sort_by_key(|slot| (slot.cost_core_ms, slot.at_ms));
+        let mut budget = Budget { taken: self.spent.taken.clone(), victims: BTreeSet::new() };
+        // Number of the victims on each worker that are selected.
+        let mut selected = vec![0; members.len()];
+        let mut room =
+            Room { tasks: Vec::new(), victims: BTreeSet::new(), cost_core_ms: 0, at_ms: 0 };
+        let mut left = required;
+        for slot in slots {
+            if left == 0 {
+                break;
+            }
+            let selected = &mut selected[slot.member];
+            let added = victims[slot.member].get(*selected..slot.victims).unwrap_or_default();
+            if !budget.try_spend(self.index, added) {
+                continue;
+            }
+            *selected = slot.victims.max(*selected);
+            let tasks = slot.tasks.min(left);
+            left -= tasks;
+            room.tasks.push((members[slot.member], tasks));
+            room.at_ms = room.at_ms.max(slot.at_ms);
         }
-        let Some(allocation) = evictable.next() else { break };
-        let wanted = pending.iter().chain([allocation]).map(|allocation| allocation.victim);
-        if !budget.allows(index, wanted) {
-            continue;
+        if left > 0 {
+            return None;
         }
-        free.add(&allocation.demand, allocation.is_filler);
-        pending.push(*allocation);
+        room.victims = budget.victims;
+        let costs = room.victims.iter().map(|victim| self.index.cost_core_ms(*victim));
+        room.cost_core_ms = costs.fold(0, u64::saturating_add);
+        Some(room)
     }
-    // A later slot also relies on the victims of the earlier ones.
-    let mut so_far = Vec::new();
-    for slot in &mut slots {
-        so_far.append(&mut slot.victims);
-        slot.victims.clone_from(&so_far);
+
+    // Slots on one worker, each with the victims that must stop for it, cheapest first.
+    fn slots_on(&self, at: usize, member: usize) -> Slots {
+        let Self { cluster, candidate, index, terms, .. } = self;
+        let step = candidate.step;
+        let worker = &cluster.workers[at];
+        let mut found = Slots::default();
+        if !is_eligible(candidate, worker) {
+            return found;
+        }
+        let mut left = task_limit_on(candidate, worker);
+        let mut free = worker.free;
+        let mut pending = Pending::new(self.spent);
+        let allocations = if terms.may_evict { index.allocations_on(worker.name) } else { &[] };
+        let endings = foresight::endings_until(cluster, at, terms.until_ms);
+        let mut evictable = allocations.iter().filter(|allocation| {
+            let task = index.task(allocation);
+            !self.spent.victims.contains(&allocation.victim)
+                && !endings.iter().any(|ending| ending.task == task)
+                && index.yields(allocation.victim, candidate, &cluster.view)
+        });
+        let mut endings = endings.iter();
+        let mut owed = cluster.owed[at];
+        let mut at_ms = 0;
+        while left > 0 {
+            if free.count_fitting(&step.demand, step.is_filler) > 0 {
+                let (cost_core_ms, victims) = pending.settle(index, &mut free, step);
+                found.victims.extend(victims);
+                let victims = found.victims.len();
+                // What is left of the freed room costs nothing more.
+                let fitting = free.count_fitting(&step.demand, step.is_filler).min(left);
+                for (tasks, cost_core_ms) in [(1, cost_core_ms), (fitting - 1, 0)] {
+                    if tasks > 0 {
+                        found.slots.push(Slot { member, tasks, at_ms, cost_core_ms, victims });
+                    }
+                }
+                (0..fitting).for_each(|_| free.subtract(&step.demand, step.is_filler));
+                left -= fitting;
+                continue;
+            }
+            if let Some(ending) = endings.next() {
+                free.add(&ending.demand, ending.is_filler);
+                free.settle(&mut owed);
+                at_ms = ending.at_ms;
+                continue;
+            }
+            let Some(allocation) = evictable.next() else { break };
+            if pending.push(index, *allocation) {
+                free.add(index.demand(allocation), index.is_filler(allocation));
+            }
+        }
+        found
     }
-    slots
 }
 
-// Removes allocations, most expensive first, that need not be freed for a task of the step to fit.
-fn drop_unneeded(pending: &mut Vec<Allocation>, free: &mut Resources, step: &Step) {
-    for at in (0..pending.len()).rev() {
-        let allocation = pending[at];
-        let mut without = *free;
-        without.subtract(&allocation.demand, allocation.is_filler);
-        if without.count_fitting(&step.demand, step.is_filler) > 0 {
-            *free = without;
-            pending.remove(at);
+/// Runs on one worker that are to make room for the next task, and what is selected there already.
+struct Pending {
+    allocations: Vec<Allocation>,
+    settled: Budget,
+    // What the quotas leave with the pending runs.
+    taken: Option<Taken>,
+    limited: BTreeSet<usize>,
+}
+
+impl Pending {
+    fn new(spent: &Budget) -> Self {
+        Self {
+            allocations: Vec::new(),
+            settled: Budget { taken: spent.taken.clone(), victims: BTreeSet::new() },
+            taken: None,
+            limited: BTreeSet::new(),
+        }
+    }
+
+    // Adds a run, if the quotas permit that. Returns whether it has.
+    fn push(&mut self, index: &Index<'_>, allocation: Allocation) -> bool {
+        let victim = allocation.victim;
+        let is_counted = index.is_unlimited(victim)
+            || self.settled.victims.contains(&victim)
+            || self.limited.contains(&victim);
+        if !is_counted {
+            let taken = self.taken.get_or_insert_with(|| self.settled.taken.clone());
+            if !taken.take(index, victim) {
+                return false;
+            }
+            self.limited.insert(victim);
+        }
+        self.allocations.push(allocation);
+        true
+    }
+
+    // Selects the pending runs but for those, most expensive first, that need not be freed for a task of
+    // the step to fit. Returns what they cost and their victims.
+    fn settle(
+        &mut self,
+        index: &Index<'_>,
+        free: &mut Resources,
+        step: &Step,
+    ) -> (u64, Vec<usize>) {
+        let mut victims = Vec::with_capacity(self.allocations.len());
+        let mut cost_core_ms = 0u64;
+        for allocation in self.allocations.drain(..).rev() {
+            let mut without = *free;
+            without.subtract(index.demand(&allocation), index.is_filler(&allocation));
+            if without.count_fitting(&step.demand, step.is_filler) > 0 {
+                *free = without;
+                continue;
+            }
+            victims.push(allocation.victim);
+            cost_core_ms = cost_core_ms.saturating_add(index.cost_core_ms(allocation.victim));
         }
+        victims.reverse();
+        self.settled.spend(index, victims.iter().copied());
+        (self.taken, self.limited) = (None, BTreeSet::new());
+        (cost_core_ms, victims)
     }
 }
--- a/src/batch/plan/evict/index.rs
+++ b/src/batch/plan/evict/index.rs
@@ -1,9 +1,9 @@
 //! Runs that may be evicted, with what their eviction costs and frees.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::super::{Candidate, View, candidate, foresight};
-use crate::batch::job::{Job, Resources, Step, TaskId, active_runs};
+use super::super::{Candidate, StepId, View, candidate, foresight};
+use crate::batch::job::{Job, Resources, Run, Step, TaskId, active_runs};
 
 /// Cost of a stop in addition to the lost work, in core-milliseconds: the task has to wait for
 /// capacity again.
@@ -20,44 +20,43 @@
 /// Progress of a long-running task that is operating, in percent.
 const OPERATING_PERCENT: u8 = 100;
 
-/// A run that may be evicted; a gang is evicted as a whole.
-#[derive(Clone, Debug)]
-pub(super) struct Victim {
-    pub(super) runs: Vec<(TaskId, u32)>,
-    // Work that is lost, with the costs of stopping and lateness.
-    pub(super) cost_core_ms: u64,
-    priority: u32,
-    // Whether the run makes room only for a guarantee that is due.
-    is_last_resort: bool,
-    // What the eviction takes from each quota that limits it: pairs of quota and amount.
+/// What the runs of one step have in common.
+#[derive(Debug)]
+struct Group<'a> {
+    job: &'a Job,
+    id: StepId,
+    step: &'a Step,
+    // What each of them takes from each quota that limits its eviction: pairs of quota and amount.
     shares: Vec<(usize, u64)>,
 }
 
-impl Victim {
-    /// Whether no quota limits the eviction.
-    pub(super) fn is_unlimited(&self) -> bool {
-        self.shares.is_empty()
-    }
-
-    /// Whether the run may be stopped for a candidate, as far as no quota limits it.
-    pub(super) fn yields_to(&self, candidate: &Candidate<'_>, view: &View<'_>) -> bool {
-        let is_less_urgent = self.priority > candidate.job.terms.priority;
-        (is_less_urgent && !self.is_last_resort) || candidate.is_guarantee_due(view)
-    }
+/// A run that may be evicted; a gang is evicted as a whole. There is one for each run of the pool, so that
+/// what runs of a step share is kept with their group.
+#[derive(Clone, Copy, Debug)]
+struct Victim {
+    // Work that is lost, with the costs of stopping and lateness.
+    cost_core_ms: u64,
+    group: u32,
+    // Index of the task; the first one of a gang.
+    index: u32,
+    run: u32,
+    // Number of runs that are evicted together.
+    members: u32,
+    // Whether it makes room only for a guarantee that is due.
+    is_last_resort: bool,
 }
 
-/// Resources that a run of a victim uses on a worker.
+/// A run of a victim on a worker.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Allocation {
     pub(super) victim: usize,
-    pub(super) task: TaskId,
-    pub(super) demand: Resources,
-    pub(super) is_filler: bool,
+    // Index of the task.
+    index: u32,
 }
 
 /// Amounts that may still be evicted: of each customer the accelerators that its jobs of priority 0 use
 /// beyond its guarantee, and of each long-running step the tasks that may be unavailable.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(super) struct Quotas(Vec<u64>);
 
 impl Quotas {
@@ -65,15 +64,28 @@
         self.0.push(amount);
         self.0.len() - 1
     }
+}
+
+/// What a selection of victims has taken from the quotas.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Taken(BTreeMap<usize, u64>);
 
+impl Taken {
     /// Takes the shares of a victim, if none of its quotas is used up. The last victim of a customer may
     /// use more than is left, since a gang can't be evicted in part.
-    pub(super) fn take(&mut self, victim: &Victim) -> bool {
-        if victim.shares.iter().any(|(quota, _)| self.0[*quota] == 0) {
+    pub(super) fn take(&mut self, index: &Index<'_>, victim: usize) -> bool {
+        let victim = &index.victims[victim];
+        let shares = &index.groups[victim.group as usize].shares;
+        let left = |taken: &Self, quota: usize| {
+            let taken = taken.0.get(&quota).copied().unwrap_or(0);
+            index.quotas.0[quota].saturating_sub(taken)
+        };
+        if shares.iter().any(|(quota, _)| left(self, *quota) == 0) {
             return false;
         }
-        for (quota, amount) in &victim.shares {
-            self.0[*quota] = self.0[*quota].saturating_sub(*amount);
+        for (quota, amount) in shares {
+            let taken = self.0.entry(*quota).or_default();
+            *taken = taken.saturating_add(amount.saturating_mul(victim.members.into()));
         }
         true
     }
@@ -82,9 +94,10 @@
 /// Evictable runs of all jobs, and by worker what their stop frees, cheapest first.
 #[derive(Debug, Default)]
 pub(super) struct Index<'a> {
-    pub(super) victims: Vec<Victim>,
-    pub(super) allocations: HashMap<&'a str, Vec<Allocation>>,
-    pub(super) quotas: Quotas,
+    groups: Vec<Group<'a>>,
+    victims: Vec<Victim>,
+    allocations: HashMap<&'a str, Vec<Allocation>>,
+    quotas: Quotas,
 }
 
 impl<'a> Index<'a> {
@@ -94,10 +107,12 @@
         let live = view.table.live.values().map(|job| job.terms.priority);
         let lowest_priority = queued.chain(live).max().unwrap_or(0);
         let customer_quotas = index.add_customer_quotas(view);
+        let operating = operating_tasks(view);
         for job in view.table.live.values() {
             let rank = lowest_priority - job.terms.priority;
             let customer_quota = customer_quotas.get(job.customer.as_str()).copied();
-            index.add_job(view, job, rank, customer_quota);
+            let customer_quota = customer_quota.filter(|_| job.terms.priority == 0);
+            index.add_job(view, job, rank, customer_quota, &operating);
         }
         for allocations in index.allocations.values_mut() {
             allocations.sort_by_key(|allocation| index.victims[allocation.victim].cost_core_ms);
@@ -126,19 +141,28 @@
         quotas
     }
 
-    fn add_job(&mut self, view: &View<'a>, job: &'a Job, rank: u32, customer_quota: Option<usize>) {
-        let mut gangs: BTreeMap<(u32, u32), usize> = BTreeMap::new();
-        let mut step_quotas: BTreeMap<(u32, u32), usize> = BTreeMap::new();
+    fn add_job(
+        &mut self,
+        view: &View<'a>,
+        job: &'a Job,
+        rank: u32,
+        customer_quota: Option<usize>,
+        operating: &BTreeMap<StepId, BTreeSet<u32>>,
+    ) {
+        let mut groups: BTreeMap<StepId, u32> = BTreeMap::new();
+        let mut gangs: BTreeMap<u32, usize> = BTreeMap::new();
         let lateness_cost_core_ms = lateness_cost_core_ms(view, job);
-        let customer_quota = customer_quota.filter(|_| job.terms.priority == 0);
         for (task, run) in active_runs(job) {
             let step = &job.spec.steps[task.step as usize];
             if run.is_stopping {
                 continue;
             }
-            let step_id = (task.occurrence, task.step);
+            let id = (job.id, task.occurrence, task.step);
+            let group = *groups
+                .entry(id)
+                .or_insert_with(|| self.add_group(job, id, customer_quota, operating));
             let next = self.victims.len();
-            let at = if step.is_gang { *gangs.entry(step_id).or_insert(next) } else { next };
+            let at = if step.is_gang { *gangs.entry(group).or_insert(next) } else { next };
             if at == next {
                 let is_irreplaceable = step.is_lasting || job.terms.priority == 0;
                 let least_cost_core_ms = if is_irreplaceable {
@@ -148,37 +172,111 @@
                 } else {
                     0
                 };
-                let is_last_resort = least_cost_core_ms > 0;
                 self.victims.push(Victim {
-                    runs: Vec::new(),
-                    priority: job.terms.priority,
-                    is_last_resort,
                     cost_core_ms: lateness_cost_core_ms + least_cost_core_ms,
-                    shares: Vec::new(),
+                    group,
+                    index: task.index,
+                    run: run.number,
+                    members: 0,
+                    is_last_resort: least_cost_core_ms > 0,
                 });
             }
             let ran_ms = view.wall_ms.saturating_sub(run.placed_ms);
             let victim = &mut self.victims[at];
-            victim.runs.push((task, run.number));
+            victim.members += 1;
             let cost_core_ms = stop_cost_core_ms(view, step, ran_ms, rank);
             victim.cost_core_ms = victim.cost_core_ms.saturating_add(cost_core_ms);
-            if let Some(quota) = customer_quota {
-                victim.shares.push((quota, step.demand.accelerators.into()));
-            }
-            if step.may_be_away > 0 {
-                let quota = *step_quotas
-                    .entry(step_id)
-                    .or_insert_with(|| self.quotas.add(count_removable(view, job, &task)));
-                victim.shares.push((quota, 1));
-            }
             let allocations = self.allocations.entry(run.worker.as_str()).or_default();
-            allocations.push(Allocation {
-                victim: at,
-                task,
-                demand: step.demand,
-                is_filler: step.is_filler,
-            });
+            allocations.push(Allocation { victim: at, index: task.index });
+        }
+    }
+
+    fn add_group(
+        &mut self,
+        job: &'a Job,
+        id: StepId,
+        customer_quota: Option<usize>,
+        operating: &BTreeMap<StepId, BTreeSet<u32>>,
+    ) -> u32 {
+        let step = &job.spec.steps[id.2 as usize];
+        let mut shares = Vec::new();
+        if let Some(quota) = customer_quota {
+            shares.push((quota, step.demand.accelerators.into()));
         }
+        if step.may_be_away > 0 {
+            let operating = operating.get(&id).map_or(0, |tasks| tasks.len() as u64);
+            shares.push((self.quotas.add(count_removable(step, operating)), 1));
+        }
+        self.groups.push(Group { job, id, step, shares });
+        (self.groups.len() - 1) as u32
+    }
+
+    fn group_of(&self, victim: usize) -> &Group<'a> {
+        &self.groups[self.victims[victim].group as usize]
+    }
+
+    /// Runs on a worker that may be evicted, cheapest first.
+    pub(super) fn allocations_on(&self, worker: &str) -> &[Allocation] {
+        self.allocations.get(worker).map_or(&[][..], Vec::as_slice)
+    }
+
+    /// Runs of these victims by worker.
+    pub(super) fn allocations_of(
+        &self,
+        victims: &BTreeSet<usize>,
+    ) -> impl Iterator<Item = (&'a str, &Allocation)> {
+        self.allocations.iter().flat_map(|(worker, allocations)| {
+            let evicted = allocations.iter().filter(|one| victims.contains(&one.victim));
+            evicted.map(|allocation| (*worker, allocation))
+        })
+    }
+
+    /// What the eviction of a victim costs, in core-milliseconds.
+    pub(super) fn cost_core_ms(&self, victim: usize) -> u64 {
+        self.victims[victim].cost_core_ms
+    }
+
+    /// Whether no quota limits the eviction of a victim.
+    pub(super) fn is_unlimited(&self, victim: usize) -> bool {
+        self.group_of(victim).shares.is_empty()
+    }
+
+    /// Whether a victim may be stopped for a candidate, as far as no quota limits it.
+    pub(super) fn yields(&self, victim: usize, candidate: &Candidate<'_>, view: &View<'_>) -> bool {
+        let is_less_urgent =
+            self.group_of(victim).job.terms.priority > candidate.job.terms.priority;
+        let is_last_resort = self.victims[victim].is_last_resort;
+        (is_less_urgent && !is_last_resort) || candidate.is_guarantee_due(view)
+    }
+
+    /// Task of a run.
+    pub(super) fn task(&self, allocation: &Allocation) -> TaskId {
+        let (job, occurrence, step) = self.group_of(allocation.victim).id;
+        TaskId { job, occurrence, step, index: allocation.index }
+    }
+
+    /// Resources that a run uses.
+    pub(super) fn demand(&self, allocation: &Allocation) -> &'a Resources {
+        &self.group_of(allocation.victim).step.demand
+    }
+
+    /// Whether a run uses only processor time that others leave.
+    pub(super) fn is_filler(&self, allocation: &Allocation) -> bool {
+        self.group_of(allocation.victim).step.is_filler
+    }
+
+    /// The runs that are evicted with a victim.
+    pub(super) fn runs_of(&self, victim: usize) -> Vec<(TaskId, u32)> {
+        let group = self.group_of(victim);
+        let (job, occurrence, step) = group.id;
+        let Victim { index, run, .. } = self.victims[victim];
+        if !group.step.is_gang {
+            return vec![(TaskId { job, occurrence, step, index }, run)];
+        }
+        let of_gang = active_runs(group.job).filter(|(task, run)| {
+            (task.occurrence, task.step) == (occurrence, step) && !run.is_stopping
+        });
+        of_gang.map(|(task, run)| (task, run.number)).collect()
     }
 }
 
@@ -193,18 +291,35 @@
     lost_core_ms.saturating_add(STOP_COST_CORE_MS)
 }
 
+// Operating tasks of each long-running step whose unavailability is limited.
+fn operating_tasks(view: &View<'_>) -> BTreeMap<StepId, BTreeSet<u32>> {
+    let mut operating: BTreeMap<_, BTreeSet<u32>> = BTreeMap::new();
+    for worker in view.table.occupied_workers() {
+        let Some(session) = view.fleet.session(worker) else { continue };
+        for row in &session.heartbeat.running {
+            if row.percent != OPERATING_PERCENT {
+                continue;
+            }
+            let task = &row.task;
+            let Some(job) = view.table.live.get(&task.job) else { continue };
+            let is_limited =
+                job.spec.steps.get(task.step as usize).is_some_and(|step| step.may_be_away > 0);
+            let is_active = |active: &Run| {
+                active.number == row.run && active.worker == *worker && !active.is_stopping
+            };
+            if is_limited && job.active_run(task).is_some_and(is_active) {
+                let step = (task.job, task.occurrence, task.step);
+                operating.entry(step).or_default().insert(task.index);
+            }
+        }
+    }
+    operating
+}
+
 // Number of tasks of a long-running step that may be stopped now: those that may be unavailable, less those
 // that are. A gang is stopped as a whole or not at all.
-fn count_removable(view: &View<'_>, job: &Job, task: &TaskId) -> u64 {
-    let step = &job.spec.steps[task.step as usize];
-    let operating = active_runs(job).filter(|(other, run)| {
-        (other.occurrence, other.step) == (task.occurrence, task.step)
-            && !run.is_stopping
-            && view.fleet.session(&run.worker).is_some_and(|session| {
-                session.progress_percent(other, run.number) == Some(OPERATING_PERCENT)
-            })
-    });
-    let away = u64::from(step.count).saturating_sub(operating.count() as u64);
+fn count_removable(step: &Step, operating: u64) -> u64 {
+    let away = u64::from(step.count).saturating_sub(operating);
     let removable = u64::from(step.may_be_away).saturating_sub(away);
     if step.is_gang && removable < u64::from(step.count) { 0 } else { removable }
 }
