Runs on all workers together are limited by the memory of members

Cause: a run takes about 750 bytes of a leader. Jobs are accepted by what they hold while their tasks wait, which is nothing, and any number of them could begin later. Those that ran counted as accepted state, so that everybody's new jobs were refused.

Change: three eighths of limits.memory_mb, at 1 KiB a run, limit the runs that are placed; limits.runs overrides that. An eighth of it is left to priority 0, to restarts of long-running tasks and to jobs of which nothing runs. Running tasks no longer count as accepted state.

Ruled out: the search for room; no step needed any when the member was killed.

--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -8,6 +8,7 @@
 mod evict;
 mod fairness;
 mod foresight;
+mod limit;
 mod neighbour;
 mod outlook;
 mod preference;
@@ -108,6 +109,8 @@
     pub explanations: Vec<Explanation>,
     /// Number of candidates that still wait.
     pub waiting: usize,
+    /// Number of these that wait, since so many runs are placed already.
+    pub beyond_limit: usize,
     /// Number of these that wait for runs to end instead of stopping others.
     pub promised: usize,
     /// Whether the decision was cut short, so that the next one is due at once.
@@ -125,10 +128,17 @@
 }
 
 /// Decides on placements and keeps track of pending evictions between decisions.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Planner {
     evictions: BTreeMap<StepId, Eviction>,
     keeps: Keeps,
+    max_runs: u64,
+}
+
+impl Default for Planner {
+    fn default() -> Self {
+        Self { evictions: BTreeMap::new(), keeps: Keeps::default(), max_runs: u64::MAX }
+    }
 }
 
 /// A pending eviction: capacity that is held for a step until the evicted runs have stopped.
@@ -292,12 +302,19 @@
 }
 
 impl Planner {
+    /// Limits the runs that are placed on all workers at the same time.
+    #[must_use]
+    pub fn with_max_runs(self, max_runs: u64) -> Self {
+        Self { max_runs, ..self }
+    }
+
     /// Decides which tasks start and which runs stop now.
     pub fn decide(&mut self, view: View<'_>) -> Plan {
         let mut candidates = candidates(&view);
         self.remove_stale_evictions(view.now_ms, &candidates);
         self.keeps.remove_expired(view.now_ms);
         let mut decision = Decision::new(view, &self.keeps);
+        let mut runs = limit::Budget::new(&view, self.max_runs);
         decision.plan.excess = fairness::mark_excess(&mut candidates, &decision.cluster);
         candidate::sort(&mut candidates, &view);
         decision.plan.backlogs = backlog::collect(&candidates, &decision.cluster);
@@ -312,13 +329,18 @@
                 decision.plan.waiting += 1;
                 continue;
             }
+            let allowed = runs.for_candidate(candidate) as usize;
+            if allowed == 0 {
+                decision.plan.waiting += 1;
+                decision.plan.beyond_limit += 1;
+                continue;
+            }
             let mut allocation = allocation::find(&decision.cluster, candidate);
             let is_limited = !candidate.step.is_gang && allocation.count() > starts_left;
-            if is_limited {
-                allocation.truncate(starts_left as u64);
-            }
+            allocation.truncate(if is_limited { starts_left.min(allowed) } else { allowed } as u64);
             if !allocation.is_empty() {
                 self.evictions.remove(&candidate.id);
+                runs.spend(allocation.count());
                 place(&mut decision.cluster, candidate, &allocation, &mut decision.plan);
             }
             if is_limited {
@@ -329,6 +351,10 @@
                 continue;
             }
             decision.plan.waiting += 1;
+            if allocation.count() == allowed {
+                decision.plan.beyond_limit += 1;
+                continue;
+            }
             decision.unplaceable.insert(candidate.equivalence_class());
             if let Some(eviction) = self.pending_eviction(candidate, &view) {
                 hold_capacity(&mut decision.cluster, candidate, &eviction.slots);
@@ -343,8 +369,12 @@
                     let eviction = Eviction { started_ms: view.now_ms, slots };
                     self.evictions.insert(candidate.id, eviction);
                 }
-                None if allocation.is_empty() && decision.place_on_excluded(candidate) => {
-                    decision.plan.waiting -= 1;
+                None if allocation.is_empty() => {
+                    let placed = decision.place_on_excluded(candidate, allowed);
+                    runs.spend(placed);
+                    if placed == 0 {
+                        decision.reserve(candidate);
+                    }
                 }
                 None => decision.reserve(candidate),
             }
@@ -442,17 +472,20 @@
     }
 
     // Places a step whose guarantee can't be kept otherwise on workers that are excluded for failures, as
-    // far as the open ones have no room. Returns whether all its tasks were placed.
-    fn place_on_excluded(&mut self, candidate: &Candidate<'_>) -> bool {
+    // far as the open ones have no room. Returns how many of its tasks were placed.
+    fn place_on_excluded(&mut self, candidate: &Candidate<'_>, allowed: usize) -> usize {
         if !candidate.is_guarantee_critical(&self.view) {
-            return false;
+            return 0;
+        }
+        let mut allocation = allocation::find_among_all(&self.cluster, candidate);
+        allocation.truncate(allowed as u64);
+        if !allocation.is_empty() {
+            place(&mut self.cluster, candidate, &allocation, &mut self.plan);
         }
-        let allocation = allocation::find_among_all(&self.cluster, candidate);
-        if allocation.is_empty() {
-            return false;
+        if allocation.count() >= candidate.tasks.len() {
+            self.plan.waiting -= 1;
         }
-        place(&mut self.cluster, candidate, &allocation, &mut self.plan);
-        allocation.count() >= candidate.tasks.len()
+        allocation.count()
     }
 
     // Reserves capacity for a gang ahead of the less urgent candidates that follow.
--- a/src/batch/room.rs
+++ b/src/batch/room.rs
@@ -5,7 +5,7 @@
 
 use derive_more::{Display, Error};
 
-use super::job::{Id, Job, Spec};
+use super::job::{Id, Job, Spec, State};
 use super::table::{Submission, Table};
 
 /// Result of a request for room.
@@ -20,7 +20,7 @@
 const STEP_BYTES: u64 = 256;
 /// Bytes of the progress of a step in one occurrence, apart from tasks that have begun.
 const PROGRESS_BYTES: u64 = 128;
-/// Bytes of a task that has begun.
+/// Bytes of a task that has run and is not running.
 const TASK_BYTES: u64 = 256;
 /// Bytes of the reference to an earlier step.
 const REFERENCE_BYTES: u64 = 4;
@@ -176,8 +176,10 @@
         return ENDED_JOB_BYTES + names + job.spec.steps.len() as u64 * STEP_BYTES;
     }
     let steps = job.occurrences.values().flat_map(|occurrence| &occurrence.steps);
-    let begun: u64 = steps.map(|step| step.tasks.begun().len() as u64).sum();
-    LIVE_JOB_BYTES + names + spec_bytes(&job.spec) + begun * TASK_BYTES
+    let begun = steps.flat_map(|step| step.tasks.begun());
+    // Runs have a limit of their own, or those of one customer would take the room of the others' jobs.
+    let idle = begun.filter(|task| !matches!(task.state, State::Active(_))).count() as u64;
+    LIVE_JOB_BYTES + names + spec_bytes(&job.spec) + idle * TASK_BYTES
 }
 
 // Bytes of a specification, and of the progress of as many occurrences as may be open at a time.
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -50,6 +50,7 @@
     tolerated_losses: usize,
     // Memory for accepted jobs.
     room_bytes: u64,
+    max_runs: u64,
     // Held while a document is committed.
     publication: tokio::sync::Mutex<()>,
 }
@@ -80,6 +81,7 @@
             lease_ms: settings.times.worker_lease_ms,
             tolerated_losses: settings.batch.tolerated_losses,
             room_bytes: settings.limits.accepted_bytes() as u64,
+            max_runs: settings.limits.max_runs() as u64,
             publication: tokio::sync::Mutex::new(()),
         }
     }
@@ -156,7 +158,8 @@
             let estimates = std::mem::take(&mut self.estimates);
             let fleet = Fleet::of_term(term).with_throttle_times(control.dispatch.throttle_times);
             let room = Room::new(control.dispatch.room_bytes);
-            *self = Self { fleet, estimates, room, ..Self::default() };
+            let planner = Planner::default().with_max_runs(control.dispatch.max_runs);
+            *self = Self { fleet, estimates, room, planner, ..Self::default() };
         }
         Ok(())
     }
--- a/src/control/dispatch/round.rs
+++ b/src/control/dispatch/round.rs
@@ -80,6 +80,7 @@
     Metrics::global().set_steps_waiting(plan.waiting as u64);
     Metrics::global().set_yielding_customers(plan.excess.len() as u64);
     Metrics::global().set_excluded_workers(plan.excluded_workers as u64);
+    Metrics::global().set_steps_beyond_limit(plan.beyond_limit as u64);
     if plan.is_cut_short {
         dispatch.round_requested.notify_one();
     }
@@ -183,9 +184,10 @@
     }
     control.dispatch.load_logged_at_ms.store(now_ms, Ordering::Relaxed);
     let (waiting, hopeless, promised) = (plan.waiting, plan.expired, plan.promised);
+    let beyond_limit = plan.beyond_limit;
     for (pool, used_fraction) in &plan.utilization {
         let percent = (used_fraction * 100.0) as u64;
-        tracing::info!(target: DECISION, pool, used_percent = percent, waiting, hopeless, promised, "load");
+        tracing::info!(target: DECISION, pool, used_percent = percent, waiting, hopeless, promised, beyond_limit, "load");
     }
     for excess in plan.excess.iter().take(MAX_EXCESS_LINES) {
         let (pool, priority, customer) = (&excess.pool, excess.priority, &excess.customer);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,9 @@
 
 use reader::Reader;
 
+/// Memory that a leader needs for a run, in bytes: its task, its row in a heartbeat, and the indices of both.
+const RUN_BYTES: usize = 1_024;
+
 /// Result of reading settings.
 pub type Result<T> = std::result::Result<T, Faults>;
 
@@ -96,6 +99,8 @@
     pub memory_mb: usize,
     /// Memory for accepted jobs, in MiB; `None` if it follows from `memory_mb`.
     pub accepted_mb: Option<usize>,
+    /// Runs that are placed on all workers at the same time; `None` if that follows from `memory_mb`.
+    pub runs: Option<usize>,
 }
 
 /// Intervals and timeouts of a daemon.
@@ -309,6 +314,7 @@
         let queue_bytes = reader.number("limits.queue_bytes", 64 << 20, 1_024, 1 << 30);
         let memory_mb = reader.number("limits.memory_mb", 1_024, 48, 1 << 20);
         let accepted_mb = reader.number("limits.accepted_mb", 0, 0, memory_mb / 4);
+        let runs = reader.number("limits.runs", 0, 0, 1 << 30);
         let upstream_connections = reader.number("limits.upstream_connections", 60, 1, 10_000);
         Self {
             head_bytes: head_bytes as usize,
@@ -320,6 +326,7 @@
             descriptors: reader.number("limits.descriptors", 4_096, 256, 1 << 24) as usize,
             memory_mb: memory_mb as usize,
             accepted_mb: (accepted_mb > 0).then_some(accepted_mb as usize),
+            runs: (runs > 0).then_some(runs as usize),
         }
     }
 
@@ -336,6 +343,12 @@
         self.accepted_mb.map_or((self.memory_mb << 20) / 12, |accepted_mb| accepted_mb << 20)
     }
 
+    /// Maximum number of runs that are placed on all workers at the same time: they may take three
+    /// eighths of the memory of a leader. A smaller member than the others needs their common value to be set.
+    pub fn max_runs(&self) -> usize {
+        self.runs.unwrap_or((self.memory_mb << 20) / 8 * 3 / RUN_BYTES)
+    }
+
     /// Maximum size of the replicated log, in bytes, at which a snapshot is taken.
     pub fn max_log_bytes(&self) -> u64 {
         self.log_bytes.min(((self.memory_mb as u64) << 20) / 24)
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -84,6 +84,7 @@
     log_lines_dropped: Counter<u64>,
     steps_waiting: Gauge<u64>,
     excluded_workers: Gauge<u64>,
+    steps_beyond_limit: Gauge<u64>,
     delayed_restarts: Counter<u64>,
     speed_spread: Gauge<f64>,
     interfering_pairs: Gauge<u64>,
@@ -131,6 +132,9 @@
             refusals: meter.u64_counter("eelgrassvalve_batch_refusals").build(),
             log_lines_dropped: meter.u64_counter("eelgrassvalve_log_lines_dropped").build(),
             steps_waiting: meter.u64_gauge("eelgrassvalve_batch_steps_waiting").build(),
+            steps_beyond_limit: meter
+                .u64_gauge("eelgrassvalve_batch_steps_beyond_run_limit")
+                .build(),
             excluded_workers: meter.u64_gauge("eelgrassvalve_batch_excluded_workers").build(),
             delayed_restarts: meter.u64_counter("eelgrassvalve_batch_delayed_restarts").build(),
             speed_spread: meter.f64_gauge("eelgrassvalve_batch_speed_spread").build(),
@@ -236,6 +240,11 @@
         self.excluded_workers.record(count, &[]);
     }
 
+    /// Sets the number of steps that wait, since too many runs are placed.
+    pub fn set_steps_beyond_limit(&self, count: u64) {
+        self.steps_beyond_limit.record(count, &[]);
+    }
+
     /// Counts a delayed restart of a task that fails soon after each start.
     pub fn count_delayed_restart(&self) {
         self.delayed_restarts.add(1, &[]);
--- a/tests/load_room.rs
+++ b/tests/load_room.rs
@@ -1,8 +1,9 @@
 //! A crowd of accepted jobs: whose further jobs are refused, and when their callers may return.
 
-use eelgrassvalve::batch::job::{Id, Schedule, Spec, Step};
-use eelgrassvalve::batch::room::{Room, submission_bytes};
-use eelgrassvalve::batch::table::{Command, Submission, Table};
+use eelgrassvalve::batch::job::{Id, Schedule, Spec, Step, TaskId};
+use eelgrassvalve::batch::room::{self, Room, submission_bytes};
+use eelgrassvalve::batch::table::{Command, End, Round, Start, Submission, Table};
+use eelgrassvalve::batch::worker::Exit;
 use rstest::rstest;
 
 /// Size of the room in these tests, in bytes.
@@ -123,3 +124,26 @@
     let bytes = |spec: Spec| submission_bytes(&submission(1, "crowd", spec));
     assert_eq!(bytes(other), bytes(one) + more);
 }
+
+/// Guards against a customer whose running tasks take the room of everybody's new jobs: runs have a limit of their
+/// own, and tasks that have run count.
+#[rstest]
+#[case::running(None, 0)]
+#[case::done(Some(Exit::Done), 256)]
+#[case::failed(Some(Exit::Failed), 256)]
+fn only_tasks_that_have_run_hold_room(#[case] how: Option<Exit>, #[case] bytes_each: u64) {
+    let mut table = Table::default();
+    table.apply(&Command::Submit(Box::new(submission(1, "crowd", spec(0, 101)))), 0).unwrap();
+    let job = |table: &Table| room::job_bytes(table.job(Id(1)).expect("the job is accepted"));
+    let waiting_bytes = job(&table);
+    for index in 0..100 {
+        let task = TaskId { job: Id(1), occurrence: 0, step: 0, index };
+        let start = Start { task, run: 1, worker: "w0".into(), incarnation: 1 };
+        let ends = how.map(|how| End { task, run: 1, how, checkpoint: String::new() });
+        let starts = Round { starts: vec![start], ..Round::default() };
+        let ends = Round { ends: ends.into_iter().collect(), ..Round::default() };
+        table.apply(&Command::Round(starts), 0).unwrap();
+        table.apply(&Command::Round(ends), 0).unwrap();
+    }
+    assert_eq!(job(&table) - waiting_bytes, 100 * bytes_each);
+}
