A job belongs to its queue and its customer

Cause: jobs were looked up by their ID alone, and whoever named an open queue was let in to every job: the queue of the call was asked, not that of the job.

Change: batch::access decides whose job it is, by its queue and its customer. Anybody else's hand-in under its ID is refused with 409, reads and cancels get 410. Jobs keep the host and prefix of their queue, since callers know a queue by them and names need not be unique; once no queue has that address, and for jobs of an earlier version, the name decides. `pending` counts in the same way.

Ruled out: keys and revocations, which are checked at the leader against the committed document; entries, which keep no job. Not covered: callers of one open queue can't be told apart.

--- a/examples/batch.rs
+++ b/examples/batch.rs
@@ -138,6 +138,7 @@
         let submission = Submission {
             id: Id(id),
             queue: queue.into(),
+            address: String::new(),
             customer: format!("customer {}", id % CUSTOMERS),
             terms: found.expect("the queue exists").terms.clone(),
             spec: Spec { payload: "text".into(), steps: vec![step], schedule: None },
--- a/src/batch/document.rs
+++ b/src/batch/document.rs
@@ -75,6 +75,18 @@
     pub guaranteed: u32,
 }
 
+impl Queue {
+    /// Address of the queue, as jobs keep it: its host and its prefix.
+    pub fn address(&self) -> String {
+        format!("{} {}", self.host, self.prefix)
+    }
+
+    /// Whether this is the address of the queue.
+    pub fn is_at(&self, address: &str) -> bool {
+        address.split_once(' ').is_some_and(|parts| parts == (&self.host, &self.prefix))
+    }
+}
+
 impl Document {
     /// Returns all faults of the document; empty if it may be put into force.
     pub fn faults(&self) -> Vec<Fault> {
--- a/src/batch/fleet/begun.rs
+++ b/src/batch/fleet/begun.rs
@@ -8,8 +8,13 @@
 impl Fleet {
     /// Number of live jobs of a queue of which no task has begun, as far as this leader knows.
     pub fn count_pending(&self, table: &Table, queue: &str) -> u64 {
-        let of_queue = table.live.values().filter(|job| job.queue == queue);
-        of_queue.filter(|job| self.is_pending(job)).count() as u64
+        self.count_pending_where(table, |job| job.queue == queue)
+    }
+
+    /// As [`Fleet::count_pending`], of the jobs for which a condition holds.
+    pub fn count_pending_where(&self, table: &Table, holds: impl Fn(&Job) -> bool) -> u64 {
+        let jobs = table.live.values().filter(|job| holds(job));
+        jobs.filter(|job| self.is_pending(job)).count() as u64
     }
 
     // A run on a worker that this leader has not heard may have begun under an earlier one.
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -421,6 +421,9 @@
     pub id: Id,
     /// Name of the queue that the job was submitted to.
     pub queue: String,
+    /// Address of that queue; empty for a job of an earlier version.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub address: String,
     /// Name of the customer that submitted the job.
     pub customer: String,
     /// Specification as submitted.
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -3,6 +3,7 @@
 //! [`table`] is replicated state; [`fleet`] and [`plan`] are derived by the leader from that state
 //! and from the heartbeats that it receives. This module reads no clock and does no I/O.
 
+pub mod access;
 pub mod admission;
 pub mod balance;
 mod bounded;
--- a/src/batch/room.rs
+++ b/src/batch/room.rs
@@ -165,13 +165,15 @@
 
 /// Bytes that a job takes once it is accepted, before any of its tasks begins.
 pub fn submission_bytes(submission: &Submission) -> u64 {
-    let names = submission.queue.len() + submission.customer.len() + submission.terms.pool.len();
+    let queue = submission.queue.len() + submission.address.len() + submission.terms.pool.len();
+    let names = queue + submission.customer.len();
     LIVE_JOB_BYTES + names as u64 + spec_bytes(&submission.spec)
 }
 
 /// Bytes that a job takes.
 pub fn job_bytes(job: &Job) -> u64 {
-    let names = (job.queue.len() + job.customer.len() + job.terms.pool.len()) as u64;
+    let queue = job.queue.len() + job.address.len() + job.terms.pool.len();
+    let names = (queue + job.customer.len()) as u64;
     if job.outcome.is_some() {
         return ENDED_JOB_BYTES + names + job.spec.steps.len() as u64 * STEP_BYTES;
     }
--- a/src/batch/table.rs
+++ b/src/batch/table.rs
@@ -51,6 +51,9 @@
     pub id: Id,
     /// Name of the queue.
     pub queue: String,
+    /// Address of the queue; empty in a log of an earlier version.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub address: String,
     /// Name of the customer.
     pub customer: String,
     /// Terms of the queue.
@@ -235,6 +238,7 @@
         let mut job = Job {
             id: submission.id,
             queue: submission.queue.clone(),
+            address: submission.address.clone(),
             customer: submission.customer.clone(),
             spec: submission.spec.clone(),
             terms: submission.terms.clone(),
--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -8,8 +8,9 @@
 use tokio::time::timeout;
 
 use super::{Control, propose, refusal};
+use crate::batch::access::Caller;
 use crate::batch::call::{Answer, Target};
-use crate::batch::document::{Document, Queue};
+use crate::batch::document::Document;
 use crate::batch::job::{Id, Job, Phase, Spec, active_runs};
 use crate::batch::table::{self, Command as Batch, Evacuation, Submission, Table};
 use crate::error::{Code, Error, Result};
@@ -31,29 +32,42 @@
     let term = control.group.read_in_term().await?;
     let (submission, revision, is_open) = {
         let machine = control.machine.lock();
-        let (queue, rest, customer) = find_authorized_queue(&machine.batch.document, target)?;
-        let (id, is_open) = (parse_job_id(rest)?, queue.is_open);
+        let (caller, rest) = find_caller(&machine.batch.document, target)?;
+        let id = parse_job_id(rest)?;
         if let Some(job) = machine.batch.job(id) {
-            if !is_accessible(job, is_open, &customer) {
-                return Err(id_conflict(id));
-            }
-            return Ok(Answer::Phase(job.phase()));
+            return if caller.owns(job) {
+                Ok(Answer::Phase(job.phase()))
+            } else {
+                Err(id_conflict(id))
+            };
         }
         let mut spec = spec.map_err(|message| Error::not_run(Code::BadRequest, message))?;
         if let Some(fault) = spec.fault() {
             return Err(Error::not_run(Code::BadRequest, fault));
         }
         spec.remove_repeated_references();
-        let (queue, terms) = (queue.name.clone(), queue.terms.clone());
-        let submission = Submission { id, queue, customer, terms, spec };
+        let queue = caller.queue;
+        let submission = Submission {
+            id,
+            queue: queue.name.clone(),
+            address: queue.address(),
+            customer: caller.customer.to_string(),
+            terms: queue.terms.clone(),
+            spec,
+        };
         refusal::check(control, term, &machine.batch, &submission)?;
-        (submission, machine.batch.document.revision, is_open)
+        (submission, machine.batch.document.revision, queue.is_open)
     };
     let (id, queue) = (submission.id, submission.queue.clone());
     let (customer, steps) = (submission.customer.clone(), submission.spec.steps.len());
+    let address = submission.address.clone();
     propose(control, Batch::Submit(Box::new(submission))).await?;
-    // Another customer's job may have been committed under the same ID meanwhile.
-    let is_own = |job: &Job| is_accessible(job, is_open, &customer);
+    // Another caller's job may have been committed under the same ID meanwhile.
+    let is_own = |job: &Job| {
+        let is_same_queue =
+            if job.address.is_empty() { job.queue == queue } else { job.address == address };
+        is_same_queue && (is_open || job.customer == customer)
+    };
     if !control.machine.lock().batch.job(id).is_none_or(is_own) {
         return Err(id_conflict(id));
     }
@@ -66,25 +80,27 @@
 pub(super) async fn status(control: &Control, target: &Target) -> Result<Answer> {
     let term = control.group.read_in_term().await?;
     let machine = control.machine.lock();
-    let (queue, rest, customer) = find_authorized_queue(&machine.batch.document, target)?;
+    let (caller, rest) = find_caller(&machine.batch.document, target)?;
     if rest.is_empty() {
         let mut term_state = control.dispatch.term_state.lock();
         term_state.enter(term, control)?;
-        return Ok(Answer::Pending(term_state.fleet.count_pending(&machine.batch, &queue.name)));
+        let is_of_queue = |job: &Job| caller.is_of_queue(job);
+        let pending = term_state.fleet.count_pending_where(&machine.batch, is_of_queue);
+        return Ok(Answer::Pending(pending));
     }
     let Ok(id) = parse_job_id(rest) else {
         return Err(Error::not_run(Code::KeyExpired, format!("no job {rest}")));
     };
-    Ok(Answer::Phase(find_accessible_job(&machine.batch, id, queue, &customer)?.phase()))
+    Ok(Answer::Phase(find_own_job(&machine.batch, id, caller)?.phase()))
 }
 
 pub(super) async fn cancel(control: &Control, target: &Target) -> Result<Answer> {
     control.group.read().await?;
     let (id, workers) = {
         let machine = control.machine.lock();
-        let (queue, rest, customer) = find_authorized_queue(&machine.batch.document, target)?;
+        let (caller, rest) = find_caller(&machine.batch.document, target)?;
         let id = parse_job_id(rest)?;
-        find_accessible_job(&machine.batch, id, queue, &customer)?;
+        find_own_job(&machine.batch, id, caller)?;
         let runs = machine.batch.live.get(&id).into_iter().flat_map(active_runs);
         let workers: BTreeSet<String> = runs.map(|(_, run)| run.worker.clone()).collect();
         (id, workers)
@@ -154,10 +170,11 @@
     Ok(Answer::Document { revision: document.revision, source: document.source.clone() })
 }
 
-fn find_authorized_queue<'a, 'b>(
+// The caller of a request, and the rest of its path behind the queue's prefix.
+fn find_caller<'a, 'b>(
     document: &'a Document,
     target: &'b Target,
-) -> Result<(&'a Queue, &'b str, String)> {
+) -> Result<(Caller<'a>, &'b str)> {
     if document.revision == 0 {
         return Err(Error::not_run(Code::NoLease, "no document yet"));
     }
@@ -165,35 +182,21 @@
         return Err(Error::not_run(Code::NotFound, "no such queue"));
     };
     let customer = target.key.as_deref().and_then(|key| document.customer_by_key(key));
-    match customer {
-        Some(customer) => Ok((queue, rest, customer.name.clone())),
-        None if queue.is_open => Ok((queue, rest, String::new())),
-        None => Err(Error::not_run(Code::Unauthorized, "no known key")),
+    if customer.is_none() && !queue.is_open {
+        return Err(Error::not_run(Code::Unauthorized, "no known key"));
     }
-}
-
-// Whether a caller may see and cancel a job. Callers of an open queue, and those whose jobs came through one, need
-// no key by which they could be told apart.
-fn is_accessible(job: &Job, is_queue_open: bool, customer: &str) -> bool {
-    is_queue_open || job.customer.is_empty() || job.customer == customer
+    let customer = customer.map_or("", |customer| customer.name.as_str());
+    Ok((Caller { document, queue, customer }, rest))
 }
 
 fn id_conflict(id: Id) -> Error {
-    Error::not_run(Code::Conflict, format!("another customer's job has the ID {id}"))
+    Error::not_run(Code::Conflict, format!("another caller's job has the ID {id}"))
 }
 
-// A job of another customer is as good as none.
-fn find_accessible_job<'a>(
-    table: &'a Table,
-    id: Id,
-    queue: &Queue,
-    customer: &str,
-) -> Result<&'a Job> {
+// A job of another caller is as good as none.
+fn find_own_job<'a>(table: &'a Table, id: Id, caller: Caller<'_>) -> Result<&'a Job> {
     let job = table.find_job(id)?;
-    if !is_accessible(job, queue.is_open, customer) {
-        return Err(table::unknown_job(id));
-    }
-    Ok(job)
+    if caller.owns(job) { Ok(job) } else { Err(table::unknown_job(id)) }
 }
 
 fn parse_job_id(rest: &str) -> Result<Id> {
--- a/tests/fuzz_batch.rs
+++ b/tests/fuzz_batch.rs
@@ -158,7 +158,14 @@
 }
 
 fn submission(id: u64, terms: Terms, spec: Spec) -> Submission {
-    Submission { id: Id(id), queue: "urgent".into(), customer: "customer".into(), terms, spec }
+    Submission {
+        id: Id(id),
+        queue: "urgent".into(),
+        address: String::new(),
+        customer: "customer".into(),
+        terms,
+        spec,
+    }
 }
 
 proptest! {
--- a/tests/load_room.rs
+++ b/tests/load_room.rs
@@ -28,7 +28,14 @@
         stretch: 2.0,
         target_ms: 1_000,
     };
-    Submission { id: Id(id), queue: "queue".into(), customer: customer.into(), terms, spec }
+    Submission {
+        id: Id(id),
+        queue: "queue".into(),
+        address: String::new(),
+        customer: customer.into(),
+        terms,
+        spec,
+    }
 }
 
 fn spec(payload_bytes: usize, count: u32) -> Spec {
--- a/tests/moved_queue.rs
+++ b/tests/moved_queue.rs
@@ -77,8 +77,14 @@
     harness.submit(1, "small", vec![step(1)]);
     let job = &harness.table.live[&Id(1)];
     let (terms, spec) = (job.terms.clone(), job.spec.clone());
-    let submission =
-        Submission { id: Id(2), queue: "small".into(), customer: "customer".into(), terms, spec };
+    let submission = Submission {
+        id: Id(2),
+        queue: "small".into(),
+        address: String::new(),
+        customer: "customer".into(),
+        terms,
+        spec,
+    };
     publish(&mut harness, moved(2));
     harness.apply(Command::Submit(Box::new(submission)));
     assert_eq!((pool_of(&harness, 1), pool_of(&harness, 2)), ("other", "other"));
--- a/tests/support/batch.rs
+++ b/tests/support/batch.rs
@@ -125,6 +125,7 @@
         let submission = Submission {
             id: Id(id),
             queue: queue.into(),
+            address: String::new(),
             customer: customer.into(),
             terms: found.expect("the queue exists").terms.clone(),
             spec,
