Another job under the ID of a known one is refused

What callers saw: two clients of one queue that number their jobs alike.

Cause: a hand-in under a known ID counted as a repeated one, whatever it asked for.

Change: the specification is compared with that of the job, after the commit by a digest. What is handed in again is still recognised, also after the job has ended; an ended job keeps its steps and not its payload, so that only another payload is not told from its own then.

--- a/src/control/dispatch/caller.rs
+++ b/src/control/dispatch/caller.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 
 use super::{Control, propose, refusal};
-use crate::batch::access::Caller;
+use crate::batch::access::{self, Caller};
 use crate::batch::call::{Answer, Target};
 use crate::batch::document::Document;
 use crate::batch::job::{Id, Job, Phase, Spec, active_runs};
@@ -34,18 +34,19 @@
         let machine = control.machine.lock();
         let (caller, rest) = find_caller(&machine.batch.document, target)?;
         let id = parse_job_id(rest)?;
-        if let Some(job) = machine.batch.job(id) {
-            return if caller.owns(job) {
-                Ok(Answer::Phase(job.phase()))
-            } else {
-                Err(id_conflict(id))
-            };
+        let known = machine.batch.job(id);
+        if known.is_some_and(|job| !caller.owns(job)) {
+            return Err(id_conflict(id));
         }
         let mut spec = spec.map_err(|message| Error::not_run(Code::BadRequest, message))?;
         if let Some(fault) = spec.fault() {
             return Err(Error::not_run(Code::BadRequest, fault));
         }
         spec.remove_repeated_references();
+        if let Some(job) = known {
+            let is_repeated = caller.repeats(job, &spec);
+            return if is_repeated { Ok(Answer::Phase(job.phase())) } else { Err(id_conflict(id)) };
+        }
         let queue = caller.queue;
         let submission = Submission {
             id,
@@ -60,13 +61,14 @@
     };
     let (id, queue) = (submission.id, submission.queue.clone());
     let (customer, steps) = (submission.customer.clone(), submission.spec.steps.len());
-    let address = submission.address.clone();
+    let (address, digest) = (submission.address.clone(), access::digest(&submission.spec));
     propose(control, Batch::Submit(Box::new(submission))).await?;
     // Another caller's job may have been committed under the same ID meanwhile.
     let is_own = |job: &Job| {
         let is_same_queue =
             if job.address.is_empty() { job.queue == queue } else { job.address == address };
-        is_same_queue && (is_open || job.customer == customer)
+        let is_same_caller = is_same_queue && (is_open || job.customer == customer);
+        is_same_caller && (job.outcome.is_some() || access::digest(&job.spec) == digest)
     };
     if !control.machine.lock().batch.job(id).is_none_or(is_own) {
         return Err(id_conflict(id));
--- a/tests/access.rs
+++ b/tests/access.rs
@@ -1,8 +1,8 @@
 //! Callers that name jobs by the same ID: whose job it is.
 
-use eelgrassvalve::batch::access::Caller;
+use eelgrassvalve::batch::access::{self, Caller};
 use eelgrassvalve::batch::document::{Document, Queue, Terms};
-use eelgrassvalve::batch::job::{Id, Job, Spec, Step};
+use eelgrassvalve::batch::job::{Id, Job, Outcome, Schedule, Spec, Step};
 use eelgrassvalve::batch::table::{Command, Submission, Table};
 use rstest::rstest;
 
@@ -121,3 +121,31 @@
     assert!(stored.get("address").is_none());
     assert_eq!(serde_json::from_value::<Job>(stored).expect("it can be read"), job);
 }
+
+/// Guards against a job that is answered with 200 and never stored, since its ID is that of another job of the same
+/// queue and customer. What is handed in again is recognised, also after its end.
+#[rstest]
+#[case::the_same(|_: &mut Spec| {}, true, true)]
+#[case::another_count(|spec: &mut Spec| spec.steps[0].count = 2, false, false)]
+#[case::another_demand(|spec: &mut Spec| spec.steps[0].demand.cpu_milli = 7, false, false)]
+#[case::another_schedule(|spec: &mut Spec| spec.schedule = Some(Schedule { count: 2, first_ms: 0, interval_ms: 1 }), false, false)]
+#[case::another_step(|spec: &mut Spec| spec.steps.push(Step { count: 1, ..Step::default() }), false, false)]
+// An ended job keeps neither its payload nor the order of its steps.
+#[case::another_payload(|spec: &mut Spec| spec.payload = "other".into(), false, true)]
+fn a_job_that_is_handed_in_again_is_told_from_another(
+    #[case] change: fn(&mut Spec),
+    #[case] while_it_lives: bool,
+    #[case] after_its_end: bool,
+) {
+    let queue = queue("keyed", KEYED, false);
+    let document = document(vec![queue.clone()]);
+    let caller = Caller { document: &document, queue: &queue, customer: "one" };
+    let live = job(&queue, "one");
+    let mut spec = live.spec.clone();
+    change(&mut spec);
+    assert_eq!(caller.repeats(&live, &spec), while_it_lives);
+    assert_eq!(access::digest(&live.spec) == access::digest(&spec), while_it_lives);
+    let mut ended = Job { outcome: Some(Outcome::Completed), ..live };
+    ended.spec.payload.clear();
+    assert_eq!(caller.repeats(&ended, &spec), after_its_end);
+}
