A step's own failures elsewhere go before those of its kind

What callers would see: a sick worker that fails a customer's sound jobs is blamed less while another job of that customer and queue fails everywhere.

Cause: of the evidence by step and by kind, the larger share of failures cleared the worker, even where the step itself had run on enough others.

Change: the step's evidence decides where two other workers have tried it. The search for runs that outlive a failed one looks at a bounded number of tasks, waiting ones included.

Evidence: by reading; the new row of load_failing (a sick worker beside failing tasks of the same kind) guards it and passes before, too, since tasks go last to where their step has failed.

--- a/src/batch/fleet/failure.rs
+++ b/src/batch/fleet/failure.rs
@@ -7,7 +7,7 @@
 
 use super::health::Health;
 use crate::batch::bounded::Bounded;
-use crate::batch::job::{Id, Job, Step, TaskId, active_runs};
+use crate::batch::job::{Id, Job, State, Step, TaskId};
 use crate::batch::table::Table;
 
 /// Time for which the outcomes of a worker's runs are evidence for or against what ran there, in
@@ -114,23 +114,42 @@
         self.by_worker.values().any(|tally| tally.failures > 0)
     }
 
-    // Mean share of failed runs on the workers other than one, as far as they have tried. Each worker
-    // weighs the same, however many runs it got.
-    fn failed_share_beside(&self, worker: &str, sound: &BTreeSet<&str>, now_ms: u64) -> f64 {
-        let mut workers = 0.0;
-        let mut failed = 0.0;
+    // What became of runs on the workers other than one. On those that are known to be sound, a run of the
+    // source is in progress.
+    fn beside(&self, worker: &str, sound: &BTreeSet<&str>, now_ms: u64) -> Evidence {
+        let mut evidence = Evidence::default();
         for (name, tally) in &self.by_worker {
             if name == worker || !tally.is_recent(now_ms) {
                 continue;
             }
             let mut tally = *tally;
             tally.successes += u32::from(sound.contains(name.as_str()));
-            workers += 1.0;
-            failed += tally.failed_share();
+            evidence.workers += 1.0;
+            evidence.failed += tally.failed_share();
         }
         let others = sound.iter().filter(|name| **name != worker);
-        workers += others.filter(|name| !self.by_worker.contains_key(**name)).count() as f64;
-        failed / workers.max(MIN_OTHER_WORKERS)
+        let others = others.filter(|name| !self.by_worker.contains_key(**name));
+        evidence.workers += others.count() as f64;
+        evidence
+    }
+}
+
+/// What became of the runs of a source on some workers.
+#[derive(Clone, Copy, Debug, Default)]
+struct Evidence {
+    workers: f64,
+    // Sum of the shares of failed runs on each worker, which thus weighs the same however many it got.
+    failed: f64,
+}
+
+impl Evidence {
+    fn is_sufficient(self) -> bool {
+        self.workers >= MIN_OTHER_WORKERS
+    }
+
+    // Mean share of failed runs. Workers that have not tried count as sound, as far as there are too few.
+    fn failed_share(self) -> f64 {
+        self.failed / self.workers.max(MIN_OTHER_WORKERS)
     }
 }
 
@@ -194,7 +213,8 @@
         self.by_kind.get(&kind).map(|known| known.failing_workers(now_ms)).unwrap_or_default()
     }
 
-    // Share of the source's runs that fail on workers other than this one.
+    // Share of the source's runs that fail on workers other than this one. Where the step itself has not
+    // been tried on enough of them, the rest of its kind counts.
     fn failed_share_elsewhere(
         &self,
         source: &Source,
@@ -202,29 +222,30 @@
         table: &Table,
         now_ms: u64,
     ) -> f64 {
-        let mut share = 0.0;
+        let mut of_step = Evidence::default();
         if let Some(outcomes) = self.by_step.get(&source.step).filter(|known| known.has_failures())
         {
             let sound = outliving_workers(source.step, outcomes.failed_placed_ms, table);
-            share = outcomes.failed_share_beside(worker, &sound, now_ms);
+            of_step = outcomes.beside(worker, &sound, now_ms);
         }
-        if let Some(outcomes) = self.by_kind.get(&source.kind) {
-            let of_kind = outcomes.failed_share_beside(worker, &BTreeSet::new(), now_ms);
-            share = share.max(of_kind);
+        if of_step.is_sufficient() {
+            return of_step.failed_share();
         }
-        share
+        let of_kind = self.by_kind.get(&source.kind);
+        let of_kind = of_kind.map(|known| known.beside(worker, &BTreeSet::new(), now_ms));
+        of_step.failed_share().max(of_kind.unwrap_or_default().failed_share())
     }
 }
 
 // Workers on which a run of the step is in progress that was placed no later than one that has failed.
-fn outliving_workers(
-    (job, step): (Id, u32),
-    failed_placed_ms: u64,
-    table: &Table,
-) -> BTreeSet<&str> {
+fn outliving_workers((job, at): (Id, u32), failed_placed_ms: u64, table: &Table) -> BTreeSet<&str> {
     let Some(job) = table.live.get(&job) else { return BTreeSet::new() };
-    let of_step = |task: &TaskId| task.step == step;
-    let runs = active_runs(job).take(MAX_TASKS_SEARCHED).filter(|(task, _)| of_step(task));
-    let outliving = runs.filter(|(_, run)| !run.is_stopping && run.placed_ms <= failed_placed_ms);
-    outliving.map(|(_, run)| run.worker.as_str()).collect()
+    let steps = job.occurrences.values().filter_map(|known| known.steps.get(at as usize));
+    let tasks = steps.flat_map(|step| step.tasks.begun()).take(MAX_TASKS_SEARCHED);
+    let runs = tasks.filter_map(|task| match &task.state {
+        State::Active(run) => Some(run),
+        _ => None,
+    });
+    let outliving = runs.filter(|run| !run.is_stopping && run.placed_ms <= failed_placed_ms);
+    outliving.map(|run| run.worker.as_str()).collect()
 }
--- a/tests/load_failing.rs
+++ b/tests/load_failing.rs
@@ -20,8 +20,6 @@
 const RECLAIM_MS: u64 = 5_900;
 /// Time after its last run within which a long-running task must run again, in milliseconds.
 const RESTART_MS: u64 = 6_000;
-/// Customers and jobs of the work that fails; all other jobs are sound.
-const FAILING_CUSTOMERS: [&str; 4] = ["a", "b", "c", "d"];
 /// Job that waits beside the failing work.
 const WAITING: u64 = 1_000_000;
 
@@ -42,6 +40,8 @@
     workers: usize,
     sick: BTreeSet<String>,
     failing: Fate,
+    // Jobs whose runs all fail.
+    failing_jobs: BTreeSet<u64>,
     ends: BTreeMap<String, u64>,
     starts: Vec<(u64, TaskId, String)>,
     ended: BTreeMap<TaskId, u64>,
@@ -55,6 +55,7 @@
             workers,
             sick: BTreeSet::new(),
             failing,
+            failing_jobs: BTreeSet::new(),
             ends: BTreeMap::new(),
             starts: Vec::new(),
             ended: BTreeMap::new(),
@@ -62,7 +63,7 @@
         }
     }
 
-    /// Submits a job; one of a failing customer fails.
+    /// Submits a job.
     fn submit(&mut self, customer: &str, queue: &str, step: Step) -> u64 {
         let job = self.next_job;
         self.next_job += 1;
@@ -72,7 +73,7 @@
 
     fn fate(&self, task: &TaskId, worker: &str) -> Fate {
         let job = &self.harness.table.live[&task.job];
-        if FAILING_CUSTOMERS.contains(&job.customer.as_str()) {
+        if self.failing_jobs.contains(&task.job.0) {
             return self.failing;
         }
         if self.sick.contains(worker) {
@@ -184,11 +185,11 @@
         None
     }
 
-    fn starts_on(&self, worker: &str, customer: &str, since_ms: u64) -> usize {
-        let jobs = &self.harness.table;
-        let is_of = |task: &TaskId| jobs.job(task.job).is_some_and(|job| job.customer == customer);
+    /// Number of starts of sound tasks on a worker.
+    fn starts_on(&self, worker: &str, since_ms: u64) -> usize {
         let starts = self.starts.iter().filter(|(at_ms, ..)| *at_ms >= since_ms);
-        starts.filter(|(_, task, on)| on == worker && is_of(task)).count()
+        let sound = starts.filter(|(_, task, _)| !self.failing_jobs.contains(&task.job.0));
+        sound.filter(|(_, _, on)| on == worker).count()
     }
 }
 
@@ -206,7 +207,7 @@
 #[derive(Clone, Default)]
 struct Trouble {
     queue: &'static str,
-    customers: usize,
+    customers: &'static [&'static str],
     jobs: usize,
     jobs_each_s: usize,
     step: Step,
@@ -214,13 +215,14 @@
 
 impl Trouble {
     fn of(step: Step) -> Self {
-        Self { queue: "small", customers: 1, jobs: 1, jobs_each_s: 0, step }
+        Self { queue: "small", customers: &["a"], jobs: 1, jobs_each_s: 0, step }
     }
 
     fn submit(&self, scene: &mut Scene, jobs: usize) {
         for at in 0..jobs {
-            let customer = FAILING_CUSTOMERS[at % self.customers];
-            scene.submit(customer, self.queue, self.step.clone());
+            let customer = self.customers[at % self.customers.len()];
+            let job = scene.submit(customer, self.queue, self.step.clone());
+            scene.failing_jobs.insert(job);
         }
     }
 
@@ -239,7 +241,7 @@
 #[case::lasting_tasks(8, FAILS, Trouble::of(lasting(16)))]
 #[case::one_lasting_task(8, FAILS, Trouble::of(lasting(1)))]
 #[case::lasting_tasks_of_many_jobs(8, FAILS, Trouble { jobs: 16, ..Trouble::of(lasting(1)) })]
-#[case::lasting_tasks_of_several_customers(8, FAILS, Trouble { jobs: 16, customers: 4, ..Trouble::of(lasting(2)) })]
+#[case::lasting_tasks_of_several_customers(8, FAILS, Trouble { jobs: 16, customers: &["a", "b", "c", "d"], ..Trouble::of(lasting(2)) })]
 #[case::lasting_gang(8, FAILS, Trouble::of(Step { is_gang: true, ..lasting(16) }))]
 #[case::spread_lasting_tasks(8, FAILS, Trouble::of(Step { per_worker: 2, ..lasting(16) }))]
 #[case::lasting_tasks_that_end_well(8, Fate::Ends(500, Exit::Done), Trouble::of(lasting(16)))]
@@ -249,7 +251,7 @@
 #[case::large_pool(48, FAILS, Trouble::of(lasting(300)))]
 #[case::two_workers(2, FAILS, Trouble::of(lasting(16)))]
 #[case::finite_tasks(8, FAILS, Trouble { jobs: 0, jobs_each_s: 4, ..Trouble::of(small(4)) })]
-#[case::finite_tasks_of_several_customers(8, FAILS, Trouble { jobs: 0, jobs_each_s: 8, customers: 4, ..Trouble::of(small(1)) })]
+#[case::finite_tasks_of_several_customers(8, FAILS, Trouble { jobs: 0, jobs_each_s: 8, customers: &["a", "b", "c", "d"], ..Trouble::of(small(1)) })]
 #[case::finite_gangs(8, FAILS, Trouble { jobs: 0, jobs_each_s: 3, queue: "large", ..Trouble::of(Step { is_gang: true, ..small(4) }) })]
 #[case::tasks_that_stall(8, Fate::Stalls, Trouble { jobs: 8, ..Trouble::of(small(2)) })]
 #[case::tasks_that_never_begin(8, Fate::NeverBegins, Trouble { jobs: 4, ..Trouble::of(small(2)) })]
@@ -278,7 +280,7 @@
 #[rstest]
 #[case::lasting_tasks(Trouble::of(lasting(16)))]
 #[case::lasting_tasks_of_many_jobs(Trouble { jobs: 16, ..Trouble::of(lasting(1)) })]
-#[case::lasting_tasks_of_several_customers(Trouble { jobs: 8, customers: 4, ..Trouble::of(lasting(2)) })]
+#[case::lasting_tasks_of_several_customers(Trouble { jobs: 8, customers: &["a", "b", "c", "d"], ..Trouble::of(lasting(2)) })]
 fn a_gang_that_needs_the_whole_pool_begins_beside_failing_work(#[case] trouble: Trouble) {
     let mut scene = Scene::new(8, FAILS);
     trouble.submit(&mut scene, trouble.jobs);
@@ -299,6 +301,7 @@
 #[case::eighth_of_a_large_pool_beside_failing_tasks(48, &[0, 8, 16, 24, 32, 40], Some(Trouble::of(lasting(300))))]
 #[case::beside_failing_tasks(8, &[0], Some(Trouble::of(lasting(16))))]
 #[case::two_beside_failing_tasks(8, &[0, 1], Some(Trouble::of(lasting(16))))]
+#[case::beside_failing_tasks_of_its_kind(8, &[0], Some(Trouble { customers: &["customer"], ..Trouble::of(lasting(16)) }))]
 #[case::beside_failing_jobs(8, &[0], Some(Trouble { jobs: 0, jobs_each_s: 4, ..Trouble::of(small(4)) }))]
 fn a_sick_worker_is_avoided(
     #[case] workers: usize,
@@ -323,11 +326,12 @@
     for worker in &scene.sick {
         // Each exclusion is followed by two tries or a job's tasks at the same time; from the fourth one on
         // they last 12 s.
-        let starts = scene.starts_on(worker, "customer", begin_ms);
+        let starts = scene.starts_on(worker, begin_ms);
         assert!(starts <= 40, "{worker}: {starts} starts of sound tasks");
     }
-    let failed = scene.harness.table.ended.values().filter(|job| job.customer == "customer");
-    let failed = failed.filter(|job| job.phase().to_string() == "failed").count();
+    let sound = scene.harness.table.ended.values();
+    let sound = sound.filter(|job| !scene.failing_jobs.contains(&job.id.0));
+    let failed = sound.filter(|job| job.phase().to_string() == "failed").count();
     assert_eq!(failed, 0, "sound jobs that failed");
 }
 
@@ -338,7 +342,7 @@
 #[case::ends_well(Fate::Ends(500, Exit::Done))]
 fn a_long_running_task_that_fails_everywhere_is_held_back(#[case] fate: Fate) {
     let mut scene = Scene::new(48, fate);
-    scene.submit("a", "small", lasting(1));
+    Trouble::of(lasting(1)).submit(&mut scene, 1);
     let mut longest_ms = 0;
     for _ in 0..60_000 / TICK_MS {
         let starts = scene.starts.len();
@@ -359,7 +363,7 @@
 #[case::many_tasks(60)]
 fn a_long_running_task_that_fails_now_and_then_restarts_at_once(#[case] tasks: u32) {
     let mut scene = Scene::new(8, Fate::Ends(6_000, Exit::Failed));
-    scene.submit("a", "small", lasting(tasks));
+    Trouble::of(lasting(tasks)).submit(&mut scene, 1);
     for _ in 0..60_000 / TICK_MS {
         let starts = scene.starts.len();
         scene.tick();
