--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -5,6 +5,8 @@
 mod allocation;
 mod backlog;
 mod candidate;
+mod cluster;
+mod decision;
 mod evict;
 mod fairness;
 mod foresight;
@@ -14,22 +16,18 @@
 mod preference;
 mod reserve;
 
-use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::admission::Backlog;
 use super::estimate::Estimates;
 use super::fleet::{Fleet, Worker};
-use super::job::{Id, Resources, Step, TaskId};
-use super::table::{Round, Start, Table};
-use allocation::Allocation;
-use candidate::Class;
+use super::job::{Id, Step, TaskId};
+use super::table::{Round, Table};
 pub use candidate::{Candidate, candidates, longest_path_ms, startable_tasks};
-use evict::{Evictor, Selection};
+use cluster::{Cluster, worker_groups};
+use decision::{Decision, hold_capacity, place};
 pub use fairness::Excess;
-use foresight::{Ending, Keeps};
-use neighbour::Neighbours;
-use outlook::Release;
+use foresight::Keeps;
 
 /// Age at which a pending eviction expires and its capacity is no longer held, in milliseconds. An
 /// eviction takes one heartbeat and the stop of the run.
@@ -37,13 +35,9 @@
 /// Age of a pending eviction after which a step whose guarantee is critical looks for capacity
 /// elsewhere, in milliseconds: the workers chosen first have not responded by then.
 const EVICTION_RESPONSE_MS: u64 = 900;
-/// Maximum number of eviction searches in one decision; bounds the time that a decision takes.
-const MAX_EVICTION_SEARCHES: usize = 6;
 /// Number of starts after which a decision is cut short: committing them takes so little time that an
 /// urgent job which arrives meanwhile need not wait for a backlog to be placed.
 const MAX_STARTS: usize = 2_000;
-/// Maximum number of gangs for which one decision reserves capacity ahead of less urgent work.
-const MAX_RESERVATIONS: usize = 5;
 
 /// Input of a decision.
 #[derive(Clone, Copy)]
@@ -149,120 +143,6 @@
     slots: BTreeMap<String, u64>,
 }
 
-/// Workers with the capacity that is left during a decision.
-struct Cluster<'a> {
-    view: View<'a>,
-    // Sorted by name.
-    workers: Vec<Worker<'a>>,
-    // Open workers by pool and rack.
-    racks: BTreeMap<(&'a str, &'a str), Vec<usize>>,
-    // Workers that are excluded for failures, by pool.
-    excluded: BTreeMap<&'a str, Vec<usize>>,
-    utilization: BTreeMap<&'a str, f64>,
-    // What the runs on each worker are expected to free; worked out when it is first needed.
-    releases: Vec<OnceCell<Vec<Release>>>,
-    // Like `releases`, as far as stops can be spared for them.
-    endings: Vec<OnceCell<Vec<Ending>>>,
-    // What was withdrawn from each worker beyond its free capacity: it is taken from what its runs free.
-    owed: Vec<Resources>,
-    // Workers whose room goes to urgent work only.
-    kept: Vec<bool>,
-    // How much longer than on average runs take on each worker, as a factor; looked up on first use.
-    slowdowns: Vec<OnceCell<f64>>,
-    neighbours: Neighbours,
-}
-
-impl<'a> Cluster<'a> {
-    fn new(view: View<'a>, keeps: &Keeps) -> Self {
-        let workers = view.fleet.workers(view.table, view.now_ms);
-        let mut racks: BTreeMap<_, Vec<usize>> = BTreeMap::new();
-        let mut excluded: BTreeMap<_, Vec<usize>> = BTreeMap::new();
-        let mut sums: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
-        for (at, worker) in workers.iter().enumerate() {
-            if !worker.is_confirmed {
-                continue;
-            }
-            let sum = sums.entry(worker.pool).or_default();
-            let (free, capacity) = utilization_amounts(&worker.free, &worker.capacity);
-            sum.0 = sum.0.saturating_add(free);
-            sum.1 = sum.1.saturating_add(capacity);
-            if worker.is_open {
-                let key = (worker.pool, worker.rack);
-                racks.entry(key).or_default().push(at);
-            }
-            if worker.is_excluded {
-                excluded.entry(worker.pool).or_default().push(at);
-            }
-        }
-        let share = |(free, total): (u64, u64)| 1.0 - free as f64 / total.max(1) as f64;
-        let utilization = sums.into_iter().map(|(pool, sum)| (pool, share(sum))).collect();
-        let releases = workers.iter().map(|_| OnceCell::new()).collect();
-        let endings = workers.iter().map(|_| OnceCell::new()).collect();
-        let owed = vec![Resources::default(); workers.len()];
-        let kept = workers.iter().map(|worker| keeps.contains(worker.name, view.now_ms)).collect();
-        let slowdowns = workers.iter().map(|_| OnceCell::new()).collect();
-        let neighbours = Neighbours::new(&view, workers.len());
-        Self {
-            view,
-            workers,
-            racks,
-            excluded,
-            utilization,
-            releases,
-            endings,
-            owed,
-            kept,
-            slowdowns,
-            neighbours,
-        }
-    }
-
-    // Factor by which runs take longer than average on a worker.
-    fn slowdown(&self, worker: usize) -> f64 {
-        let location = self.workers[worker].location();
-        *self.slowdowns[worker].get_or_init(|| self.view.estimates.slowdown_at(&location))
-    }
-
-    // Share of a pool's accelerators (or cores, if it has none) that is in use.
-    fn utilization(&self, pool: &str) -> f64 {
-        self.utilization.get(pool).copied().unwrap_or(1.0)
-    }
-
-    fn position(&self, worker: &str) -> Option<usize> {
-        self.workers.binary_search_by_key(&worker, |known| known.name).ok()
-    }
-
-    fn allocate(&mut self, worker: usize, demand: &Resources, is_filler: bool, count: u64) {
-        for _ in 0..count {
-            let mut missing = *demand;
-            if is_filler {
-                missing.cpu_milli = 0;
-            }
-            self.workers[worker].free.settle(&mut missing);
-            self.owed[worker].add(&missing, false);
-        }
-        self.workers[worker].runs += count;
-    }
-}
-
-/// Groups of workers, each of which may hold the whole step: racks if the step is bound to one,
-/// otherwise the whole pool.
-fn worker_groups(cluster: &Cluster<'_>, candidate: &Candidate<'_>) -> Vec<Vec<usize>> {
-    let step = candidate.step;
-    let of_pool = cluster.racks.iter().filter(|(key, _)| key.0 == candidate.job.terms.pool);
-    if candidate.is_guarantee_critical(&cluster.view) {
-        return vec![of_pool.flat_map(|(_, members)| members.clone()).collect()];
-    }
-    if !step.data_rack.is_empty() {
-        let near = of_pool.filter(|(key, _)| key.1 == step.data_rack);
-        return near.map(|(_, members)| members.clone()).collect();
-    }
-    if step.is_rack_local {
-        return of_pool.map(|(_, members)| members.clone()).collect();
-    }
-    vec![of_pool.flat_map(|(_, members)| members.clone()).collect()]
-}
-
 /// Whether these workers could hold a step if they were empty: all tasks of a gang, or one task of
 /// any other step.
 fn can_hold<'a>(workers: impl Iterator<Item = &'a Worker<'a>>, step: &Step) -> bool {
@@ -293,14 +173,6 @@
     steps.iter().position(|step| !can_hold(of_pool(), step))
 }
 
-// Free and total amount of the resource by which utilization is measured.
-fn utilization_amounts(free: &Resources, capacity: &Resources) -> (u64, u64) {
-    if capacity.accelerators > 0 {
-        return (free.accelerators.into(), capacity.accelerators.into());
-    }
-    (free.cpu_milli, capacity.cpu_milli)
-}
-
 impl Planner {
     /// Limits the runs that are placed on all workers at the same time.
     #[must_use]
@@ -356,32 +228,46 @@
                 continue;
             }
             decision.unplaceable.insert(candidate.equivalence_class());
-            if let Some(eviction) = self.pending_eviction(candidate, &view) {
-                hold_capacity(&mut decision.cluster, candidate, &eviction.slots);
-                continue;
-            }
-            let may_evict = allocation.is_empty() && candidate.may_evict(&view);
-            match may_evict.then(|| decision.make_room(candidate)).flatten() {
-                Some(selection) if selection.runs.is_empty() => decision.plan.promised += 1,
-                Some(Selection { slots, freed, .. }) => {
-                    let workers = freed.into_iter().map(|(worker, _)| worker);
-                    self.keeps.extend(workers, view.now_ms);
-                    let eviction = Eviction { started_ms: view.now_ms, slots };
-                    self.evictions.insert(candidate.id, eviction);
-                }
-                None if allocation.is_empty() => {
-                    let placed = decision.place_on_excluded(candidate, allowed);
-                    runs.spend(placed);
-                    if placed == 0 {
-                        decision.reserve(candidate);
-                    }
-                }
-                None => decision.reserve(candidate),
+            if allocation.is_empty() {
+                let placed = self.make_room(&mut decision, candidate, allowed);
+                runs.spend(placed);
             }
         }
         decision.plan
     }
 
+    // Looks for room for a candidate that finds no free capacity. Returns how many of its tasks were placed
+    // after all.
+    fn make_room(
+        &mut self,
+        decision: &mut Decision<'_>,
+        candidate: &Candidate<'_>,
+        allowed: usize,
+    ) -> usize {
+        let view = decision.view;
+        if let Some(eviction) = self.pending_eviction(candidate, &view) {
+            hold_capacity(&mut decision.cluster, candidate, &eviction.slots);
+            return 0;
+        }
+        let may_evict = candidate.may_evict(&view);
+        let Some(selection) = may_evict.then(|| decision.make_room(candidate)).flatten() else {
+            let placed = decision.place_on_excluded(candidate, allowed);
+            if placed == 0 {
+                decision.reserve(candidate);
+            }
+            return placed;
+        };
+        if selection.runs.is_empty() {
+            decision.plan.promised += 1;
+            return 0;
+        }
+        let workers = selection.freed.into_iter().map(|(worker, _)| worker);
+        self.keeps.extend(workers, view.now_ms);
+        let eviction = Eviction { started_ms: view.now_ms, slots: selection.slots };
+        self.evictions.insert(candidate.id, eviction);
+        0
+    }
+
     // The eviction that a candidate waits for; `None` if its guarantee leaves no more time to wait.
     fn pending_eviction(&self, candidate: &Candidate<'_>, view: &View<'_>) -> Option<&Eviction> {
         let eviction = self.evictions.get(&candidate.id)?;
@@ -397,149 +283,3 @@
         });
     }
 }
-
-/// State of a decision in progress.
-struct Decision<'a> {
-    view: View<'a>,
-    cluster: Cluster<'a>,
-    evictor: Evictor<'a>,
-    plan: Plan,
-    eviction_searches: usize,
-    reservations: usize,
-    // Free capacity only shrinks within a decision, so a class that did not fit once is not tried
-    // again.
-    unplaceable: BTreeSet<Class<'a>>,
-}
-
-impl<'a> Decision<'a> {
-    fn new(view: View<'a>, keeps: &Keeps) -> Self {
-        let cluster = Cluster::new(view, keeps);
-        let utilization =
-            cluster.utilization.iter().map(|(pool, share)| (pool.to_string(), *share));
-        let excluded_workers = cluster.excluded.values().map(Vec::len).sum();
-        let utilization = utilization.collect();
-        let plan = Plan { utilization, excluded_workers, ..Plan::default() };
-        let unplaceable = BTreeSet::new();
-        Self {
-            view,
-            cluster,
-            evictor: Evictor::new(view),
-            plan,
-            eviction_searches: 0,
-            reservations: 0,
-            unplaceable,
-        }
-    }
-
-    // Whether an equivalent candidate did not fit, and this one may not evict others.
-    fn is_unplaceable(&self, candidate: &Candidate<'_>) -> bool {
-        self.unplaceable.contains(&candidate.equivalence_class())
-            && !candidate.may_evict(&self.view)
-    }
-
-    fn cut_short(&mut self, candidates_left: usize) {
-        self.plan.waiting += candidates_left;
-        self.plan.is_cut_short = true;
-    }
-
-    // Holds capacity for a step that other runs free: soon by themselves, or because they are evicted.
-    fn make_room(&mut self, candidate: &Candidate<'_>) -> Option<Selection> {
-        if self.eviction_searches >= MAX_EVICTION_SEARCHES {
-            return None;
-        }
-        let found = self.evictor.find(&self.cluster, candidate);
-        let is_promise = found.as_ref().is_some_and(|found| found.runs.is_empty());
-        if !is_promise {
-            self.eviction_searches += 1;
-        }
-        let found = found?;
-        hold_capacity(&mut self.cluster, candidate, &found.slots);
-        for (worker, demand) in &found.freed {
-            if let Some(at) = self.cluster.position(worker) {
-                self.cluster.owed[at].subtract(demand, false);
-            }
-        }
-        if is_promise {
-            return Some(found);
-        }
-        let is_guarantee_due = candidate.is_guarantee_due(&self.view);
-        let reason =
-            if is_guarantee_due { "reclaims its guarantee" } else { "stops less urgent runs" };
-        let explanation = candidate.explain(&self.view, 0, reason);
-        self.plan.explanations.push(Explanation { evicted: found.runs.clone(), ..explanation });
-        self.plan.round.stops.extend(found.runs.iter().copied());
-        Some(found)
-    }
-
-    // Places a step whose guarantee can't be kept otherwise on workers that are excluded for failures, as
-    // far as the open ones have no room. Returns how many of its tasks were placed.
-    fn place_on_excluded(&mut self, candidate: &Candidate<'_>, allowed: usize) -> usize {
-        if !candidate.is_guarantee_critical(&self.view) {
-            return 0;
-        }
-        let mut allocation = allocation::find_among_all(&self.cluster, candidate);
-        allocation.truncate(allowed as u64);
-        if !allocation.is_empty() {
-            place(&mut self.cluster, candidate, &allocation, &mut self.plan);
-        }
-        if allocation.count() >= candidate.tasks.len() {
-            self.plan.waiting -= 1;
-        }
-        allocation.count()
-    }
-
-    // Reserves capacity for a gang ahead of the less urgent candidates that follow.
-    fn reserve(&mut self, candidate: &Candidate<'_>) {
-        let is_useful = candidate.step.is_gang && !candidate.is_expired;
-        // Capacity reserved for a gang that can never fit would stay idle.
-        if !is_useful
-            || self.reservations >= MAX_RESERVATIONS
-            || !allocation::fits_empty_pool(&self.cluster, candidate)
-        {
-            return;
-        }
-        self.reservations += 1;
-        if let Some(slots) = reserve::find(&self.cluster, candidate) {
-            hold_capacity(&mut self.cluster, candidate, &slots);
-        }
-    }
-}
-
-fn place(
-    cluster: &mut Cluster<'_>,
-    candidate: &Candidate<'_>,
-    allocation: &Allocation,
-    plan: &mut Plan,
-) {
-    let (job, occurrence, step) = candidate.id;
-    let gang_run = candidate.next_gang_run();
-    let mut tasks = candidate.tasks.iter();
-    for (at, count) in &allocation.slots {
-        cluster.allocate(*at, &candidate.step.demand, candidate.step.is_filler, *count);
-        cluster.neighbours.add(*at, &cluster.view, candidate);
-        let worker = &cluster.workers[*at];
-        for index in tasks.by_ref().take(*count as usize) {
-            let task = TaskId { job, occurrence, step, index };
-            let run = gang_run.unwrap_or_else(|| candidate.progress.tasks[index as usize].runs + 1);
-            plan.round.starts.push(Start {
-                task,
-                run,
-                worker: worker.name.to_string(),
-                incarnation: worker.incarnation,
-            });
-        }
-    }
-    plan.explanations.push(candidate.explain(&cluster.view, allocation.count(), allocation.reason));
-}
-
-// Withdraws capacity from the candidates that follow without starting anything on it.
-fn hold_capacity(
-    cluster: &mut Cluster<'_>,
-    candidate: &Candidate<'_>,
-    slots: &BTreeMap<String, u64>,
-) {
-    for (worker, count) in slots {
-        let Some(at) = cluster.position(worker) else { continue };
-        cluster.allocate(at, &candidate.step.demand, candidate.step.is_filler, *count);
-    }
-}
